--- a/src/apricothinge/control/attached.py
+++ b/src/apricothinge/control/attached.py
@@ -8,6 +8,7 @@
 from apricothinge.control import control_pb2
 from apricothinge.control import group
 from apricothinge.control import history
+from apricothinge.control import machine
 from apricothinge.control import rpc_messages as messages
 from apricothinge.control import view
 from apricothinge.control import wire
@@ -21,14 +22,16 @@
 class AttachedNode:
     """Takes reports in and sends what the node does not have yet."""
 
-    __slots__ = ("_group", "_view", "_history", "_codec", "_wake", "_echo",
+    __slots__ = ("_group", "_machine", "_view", "_history", "_codec", "_wake", "_echo",
                  "_revision", "_share_revision", "_view_version", "_row",
                  "_ended", "_loop", "_pushed_at")
 
-    def __init__(self, members: group.Group, fleet: view.View,
+    def __init__(self, members: group.Group, state: machine.ControlMachine,
+                 fleet: view.View,
                  revisions: history.History, codec: wire.Codec) -> None:
         self._loop = asyncio.get_running_loop()
         self._group = members
+        self._machine = state
         self._view = fleet
         self._history = revisions
         self._codec = codec
@@ -119,7 +122,7 @@
 
     def _update(self) -> messages.Update:
         """Puts together what the node lacks, at one point in time."""
-        state = self._group.machine
+        state = self._machine
         full = None
         delta = None
         if self._revision < state.revision:
--- a/src/apricothinge/control/group.py
+++ b/src/apricothinge/control/group.py
@@ -1,5 +1,6 @@
 """Drives the Raft core: clock, disk, network and waiting proposers."""
 
+import abc
 import asyncio
 import math
 import random
@@ -12,19 +13,20 @@
 from apricothinge import errors
 from apricothinge import settings
 from apricothinge.control import control_pb2
-from apricothinge.control import machine
 from apricothinge.control import raft
 from apricothinge.control import raft_messages
 from apricothinge.control import rpc_messages
 from apricothinge.control import storage
 from apricothinge.control import wire
 
-__all__ = ["Group", "Peers"]
+__all__ = ["Group", "GrpcTransport", "Peers", "Transport", "bootstrap"]
 
 _TICK_S: Final = 0.05
 _STEP_TIMEOUT_S: Final = 1.0
 _PROPOSAL_TIMEOUT_S: Final = 3.0
 _LARGEST_QUEUE: Final = 256
+# A snapshot bounds what a restart reads; this much is read in a moment.
+_LARGEST_LOG_BYTES: Final = 8 << 20
 
 
 class Peers:
@@ -54,6 +56,41 @@
         self._stub_by_address.clear()
 
 
+class Transport(abc.ABC):
+    """Carries Raft messages to another member."""
+
+    __slots__ = ()
+
+    @abc.abstractmethod
+    async def step(self, address: settings.Address,
+                   batch: rpc_messages.Batch) -> rpc_messages.Ack:
+        """Sends messages.
+
+        Raises:
+            OSError: They may not have arrived.
+        """
+
+
+class GrpcTransport(Transport):
+    """Carries them as sealed unary calls."""
+
+    __slots__ = ("_peers", "_codec")
+
+    def __init__(self, peers: Peers, codec: wire.Codec) -> None:
+        self._peers = peers
+        self._codec = codec
+
+    async def step(self, address: settings.Address,
+                   batch: rpc_messages.Batch) -> rpc_messages.Ack:
+        try:
+            sealed: control_pb2.Sealed = await self._peers.stub(address).Step(
+                self._codec.seal(batch), timeout=_STEP_TIMEOUT_S)
+        except grpc.aio.AioRpcError as error:
+            raise OSError(str(error.code())) from None
+        ack: rpc_messages.Ack = self._codec.open(sealed, rpc_messages.Ack)
+        return ack
+
+
 class Group:
     """One member of the group as a running part of a control process.
 
@@ -64,20 +101,42 @@
         applied: Set each time that something was applied.
     """
 
-    def __init__(self, control: settings.Control, disk: storage.FileStorage,
-                 state: machine.ControlMachine, codec: wire.Codec, peers: Peers,
-                 address: settings.Address) -> None:
+    def __init__(self,
+                 instance: str,
+                 disk: storage.FileStorage,
+                 state: raft.Machine,
+                 members: raft.Members,
+                 transport: Transport,
+                 *,
+                 snapshot_entries: int,
+                 managed: bool = False) -> None:
+        """Reads the state back.
+
+        Args:
+            instance: Name of this member.
+            disk: Its storage.
+            state: What the log is applied to.
+            members: Of a group that starts for the first time.
+            transport: Carries messages.
+            snapshot_entries: Entries after which the log is compacted.
+            managed: Whether somebody else decides who gets a vote.
+        """
         self._loop = asyncio.get_running_loop()
-        self._settings = control
+        self._instance = instance
         self._disk = disk
-        self._codec = codec
-        self._peers = peers
+        self._transport = transport
+        self._snapshot_entries = snapshot_entries
         self.machine = state
         self.wrong_disk = False
         self.applied = asyncio.Event()
-        self.raft = raft.Raft(self._loop.time(), control.instance, disk, state,
-                              _bootstrap(control, address), random.Random(),
-                              raft.Timing())
+        self.raft = raft.Raft(self._loop.time(),
+                              instance,
+                              disk,
+                              state,
+                              members,
+                              random.Random(),
+                              raft.Timing(),
+                              managed=managed)
         self._queue_by_member: dict[str, list[raft_messages.Message]] = {}
         self._sender_by_member: dict[str, asyncio.Task[None]] = {}
         self._waiter_by_index: dict[int, tuple[int,
@@ -126,7 +185,7 @@
             except OSError as error:
                 self._stop_for(error)
                 return
-            self.raft.note_disk(self._settings.instance, self._disk.disk)
+            self.raft.note_disk(self._instance, self._disk.disk)
             self._pump()
 
     def take(self, batch: rpc_messages.Batch) -> rpc_messages.Ack:
@@ -155,7 +214,8 @@
         self._pump_scheduled = False
         try:
             self.raft.flush(self._loop.time())
-            if self.raft.log_length > self._settings.snapshot_entries:
+            if (self.raft.log_length > self._snapshot_entries or
+                    self.raft.log_bytes > _LARGEST_LOG_BYTES):
                 self.raft.compact()
         except OSError as error:
             self._stop_for(error)
@@ -206,7 +266,7 @@
             if not future.done():
                 future.set_exception(self._lost_leadership())
 
-    async def propose(self, command: machine.Command) -> Any:
+    async def propose(self, command: object) -> Any:
         """Commits a command and returns its result.
 
         Raises:
@@ -255,23 +315,20 @@
             if row is None:
                 queue.clear()
                 return
-            batch = rpc_messages.Batch(self._settings.instance, self._disk.disk,
+            batch = rpc_messages.Batch(self._instance, self._disk.disk,
                                        list(queue))
             queue.clear()
             try:
-                sealed: control_pb2.Sealed = await self._peers.stub(
-                    row.address).Step(self._codec.seal(batch),
-                                      timeout=_STEP_TIMEOUT_S)
-            except grpc.aio.AioRpcError:
+                ack = await self._transport.step(row.address, batch)
+            except OSError:
                 queue.clear()
                 return
-            ack = self._codec.open(sealed, rpc_messages.Ack)
             if ack.wrong_disk and not self.wrong_disk:
                 self.wrong_disk = True
                 eliot.log_message("control:wrong_disk", refused_by=receiver)
 
 
-def _bootstrap(control: settings.Control,
+def bootstrap(control: settings.Control,
                address: settings.Address) -> raft.Members:
     """The members of a group that starts for the first time."""
     if control.join:
--- a/src/apricothinge/control/process.py
+++ b/src/apricothinge/control/process.py
@@ -85,8 +85,12 @@
         control_pb2_grpc.add_ControlServicer_to_server(  # type: ignore
             self, self._server)
         self.rpc = self._bind()
-        self.group = group.Group(control, self._disk, self._machine,
-                                 self._codec, self._peers, self.rpc)
+        self.group = group.Group(control.instance,
+                                 self._disk,
+                                 self._machine,
+                                 group.bootstrap(control, self.rpc),
+                                 group.GrpcTransport(self._peers, self._codec),
+                                 snapshot_entries=control.snapshot_entries)
         self.admin = control.admin
         self.view = view.View()
         self._history = history.History()
@@ -236,7 +240,7 @@
             context: Any) -> AsyncIterator[control_pb2.Sealed]:
         """Serves a node's stream."""
         del context
-        node = attached.AttachedNode(self.group, self.view, self._history,
+        node = attached.AttachedNode(self.group, self._machine, self.view, self._history,
                                      self._codec)
         self._nodes.add(node)
         try:
--- a/src/apricothinge/control/raft.py
+++ b/src/apricothinge/control/raft.py
@@ -115,7 +115,20 @@
 
     def __init__(self, now: float, instance: str, disk: storage.Storage,
                  machine: Machine, bootstrap: Members, source: random.Random,
-                 timing: Timing) -> None:
+                 timing: Timing, *, managed: bool = False) -> None:
+        """Reads the state back.
+
+        Args:
+            now: Time in seconds.
+            instance: This member's name.
+            disk: Its storage.
+            machine: What the log is applied to.
+            bootstrap: Members of a group that starts for the first time.
+            source: Random source for its timeouts.
+            timing: Durations.
+            managed: Whether somebody else decides who gets a vote; if not, a
+                member gets one as soon as it has caught up.
+        """
         loaded = disk.load()
         self.instance = instance
         self.role = Role.FOLLOWER
@@ -134,6 +147,7 @@
         self._machine = machine
         self._random = source
         self._timing = timing
+        self._managed = managed
         self._votes: set[str] = set()
         self._progress_by_member: dict[str, _Progress] = {}
         self._heard_at = now
@@ -161,6 +175,11 @@
         """Entries that are not covered by the snapshot."""
         return len(self._log)
 
+    @property
+    def log_bytes(self) -> int:
+        """Size of their commands."""
+        return sum(len(entry.data) for entry in self._log)
+
     def _entry(self, index: int) -> messages.Entry:
         return self._log[index - self.snapshot_index - 1]
 
@@ -234,7 +253,8 @@
                 self._step_down(now, self.term, None)
                 return
             self._heartbeat(now)
-            self._promote(now)
+            if not self._managed:
+                self._promote(now)
             return
         if now >= self._election_at and self._is_voter():
             self._campaign(now, pre=True)
@@ -413,30 +433,44 @@
                             msgspec.msgpack.encode(members))
         return index, self.term
 
-    def _may_change_members(self) -> bool:
+    def may_change_members(self) -> bool:
+        """Tells whether this member leads and no change is in progress."""
         return (self.role is Role.LEADER and self._own_term_committed and
                 self._members_index <= self.commit and not self._pending)
 
     def _promote(self, now: float) -> None:
         """Gives a vote to a member that has caught up."""
-        if not self._may_change_members():
+        if not self.may_change_members():
             return
         for name, row in self.members.items():
-            if row.voter or name not in self._progress_by_member:
-                continue
-            progress = self._progress_by_member[name]
-            fresh = now - progress.acked_at < self._timing.election_s
-            if fresh and progress.match + _CAUGHT_UP >= self.last_index:
+            if not row.voter and self.caught_up(now, name):
                 changed = dict(self.members)
                 changed[name] = msgspec.structs.replace(row, voter=True)
                 self.propose_members(changed)
                 self.flush(now)
                 return
 
+    def silence_s(self, now: float) -> dict[str, float]:
+        """Seconds since each member, by name, answered the leader."""
+        found = {
+            name: now - progress.acked_at
+            for name, progress in self._progress_by_member.items()
+        }
+        found[self.instance] = 0.0
+        return found
+
+    def caught_up(self, now: float, name: str) -> bool:
+        """Tells whether a member answers and has nearly the whole log."""
+        progress = self._progress_by_member.get(name)
+        if progress is None:
+            return False
+        fresh = now - progress.acked_at < self._timing.election_s
+        return fresh and progress.match + _CAUGHT_UP >= self.last_index
+
     def note_disk(self, name: str, disk: str) -> None:
         """Binds a member to the data folder that it was first heard with."""
         row = self.members.get(name)
-        if row is None or row.disk or not self._may_change_members():
+        if row is None or row.disk or not self.may_change_members():
             return
         changed = dict(self.members)
         changed[name] = msgspec.structs.replace(row, disk=disk)
--- a/src/apricothinge/control/storage.py
+++ b/src/apricothinge/control/storage.py
@@ -161,6 +161,18 @@
             raise self._damaged(name, 0)
         return found[0]
 
+    def read_note(self, name: str) -> bytes | None:
+        """Reads a small file of the folder's owner, None where there is none.
+
+        Raises:
+            errors.ApricothingeError: It is damaged.
+        """
+        return self._read_whole(name)
+
+    def write_note(self, name: str, payload: bytes) -> None:
+        """Replaces a small file of the folder's owner, synced."""
+        self._replace(name, payload)
+
     def load(self) -> Loaded:
         """Reads everything back; cuts a torn tail of the log.
 
--- a/src/apricothinge/daemon.py
+++ b/src/apricothinge/daemon.py
@@ -16,7 +16,9 @@
 from apricothinge.control import process as control_process
 from apricothinge.node import process as node_process
 
-__all__ = ["app", "main"]
+__all__ = [
+    "EXIT_SETTINGS", "EXIT_STORAGE", "app", "main", "tune_gc"
+]
 
 EXIT_SETTINGS = 2
 EXIT_STORAGE = 3
@@ -29,7 +31,8 @@
                   help=__doc__)
 
 
-def _tune_gc() -> None:
+def tune_gc() -> None:
+    """Keeps collections short once a process has started."""
     # What exists after the start stays; collections need not walk it.
     gc.collect()
     gc.freeze()
@@ -53,7 +56,7 @@
     assert found.node is not None
     node = node_process.Node(found.node)
     await node.start()
-    _tune_gc()
+    tune_gc()
     await stop.wait()
     await node.stop()
     return 0
@@ -62,7 +65,7 @@
 async def _run_control(control: settings.Control, stop: asyncio.Event) -> int:
     instance = control_process.ControlInstance(control)
     await instance.start()
-    _tune_gc()
+    tune_gc()
     stopping = asyncio.ensure_future(stop.wait())
     await asyncio.wait((stopping, instance.group.failed),
                        return_when=asyncio.FIRST_COMPLETED)
--- a/src/apricothinge/errors.py
+++ b/src/apricothinge/errors.py
@@ -11,6 +11,7 @@
 
     MALFORMED_REQUEST = "malformed_request"
     HEADERS_TOO_LARGE = "headers_too_large"
+    CONTENT_TOO_LARGE = "content_too_large"
     REQUEST_TIMEOUT = "request_timeout"
     KEY_MISSING = "key_missing"
     KEY_UNKNOWN = "key_unknown"
@@ -76,6 +77,7 @@
 TABLE: Final[dict[Kind, Answer]] = {
     Kind.MALFORMED_REQUEST: Answer(400, _NO, False, 0),
     Kind.HEADERS_TOO_LARGE: Answer(431, _NO, False, 0),
+    Kind.CONTENT_TOO_LARGE: Answer(413, _NO, False, 0),
     Kind.REQUEST_TIMEOUT: Answer(408, _NO, True, 1),
     Kind.KEY_MISSING: Answer(401, _NO, False, 0),
     Kind.KEY_UNKNOWN: Answer(401, _NO, False, 0),
@@ -141,10 +143,10 @@
                  kind: Kind,
                  detail: str = "",
                  *,
-                 retry_after_s: int | None = None) -> None:
+                 retry_after_s: float | None = None) -> None:
         super().__init__(kind, detail)
         answer = TABLE[kind]
         self.not_run = answer.ran is Ran.NO
-        self.retry_after_s = (answer.retry_after_s
-                              if retry_after_s is None else retry_after_s)
+        self.retry_after_s: float = (answer.retry_after_s if retry_after_s
+                                     is None else retry_after_s)
         self.internal: dict[str, str] = {}
--- /dev/null
+++ b/src/apricothinge/link/__init__.py
@@ -0,0 +1,1 @@
+"""Framed connections between the processes of a fleet."""
--- /dev/null
+++ b/src/apricothinge/link/frames.py
@@ -0,0 +1,363 @@
+"""Length-prefixed msgpack frames and the messages that they carry."""
+
+import struct
+from typing import Any, Final, Union
+
+import msgspec
+
+from apricothinge.control import raft_messages
+
+__all__ = [
+    "Abort", "AnswerHead", "Attach", "Busy", "Call", "Cancel",
+    "Credit", "Data", "Frame", "Hello", "Join", "Joined", "Load", "Ping",
+    "Pong", "Refusal", "Report", "Row", "Status", "Step", "StepReply",
+    "TargetRow",
+    "Update", "decode", "encode"
+]
+
+_LENGTH: Final = struct.Struct(">I")
+LENGTH_BYTES: Final = _LENGTH.size
+# A desired state of 20,000 routes takes a few megabytes.
+LARGEST_FRAME_BYTES: Final = 64 << 20
+
+
+class _Message(msgspec.Struct, array_like=True, gc=False):
+    """The base of all messages."""
+
+
+class Hello(_Message, tag=1):
+    """The first message in each direction.
+
+    Attributes:
+        instance: Who speaks.
+        incarnation: Grows with each start of its process.
+    """
+
+    instance: str
+    incarnation: int
+
+
+class Ping(_Message, tag=2):
+    """Asks for a Pong."""
+
+
+class Pong(_Message, tag=3):
+    """Shows that the other end is alive."""
+
+
+# Calls between nodes.
+
+
+class Load(_Message):
+    """How full the upstream beside a node is.
+
+    Attributes:
+        running: Requests that it runs.
+        queued: Requests that wait for it in the node.
+        slots: Requests that it may run at once.
+        wait_s: Expected wait of a new request in seconds.
+    """
+
+    running: int
+    queued: int
+    slots: int
+    wait_s: float
+
+
+class Call(_Message, tag=4):
+    """Begins a call to the upstream beside the receiver.
+
+    Attributes:
+        stream: Number of the exchange, chosen by the sender.
+        method: HTTP method.
+        target: Path and query.
+        headers: End-to-end headers without a key.
+        request_id: Identity of the request.
+        service: Which service is meant.
+        rank: Importance, 0 first; nested calls are below 0.
+        idempotent: Whether it may run more than once.
+        repeated: Whether it is not the first send of the request.
+        left_s: Seconds until its deadline.
+        objective_s: Latency objective of its route in seconds.
+        route: Name of its route.
+        fingerprint: Names the request by what it asks.
+        data: The first part of the content.
+        length: Bytes of the content, or None where they are not known.
+        complete: Whether `data` is the whole content.
+    """
+
+    stream: int
+    method: str
+    target: str
+    headers: list[tuple[bytes, bytes]]
+    request_id: str
+    service: str
+    rank: int
+    idempotent: bool
+    repeated: bool
+    left_s: float
+    objective_s: float
+    route: str
+    fingerprint: str
+    data: bytes
+    length: int | None
+    complete: bool
+
+
+class Data(_Message, tag=5):
+    """More content of a request or an answer."""
+
+    stream: int
+    data: bytes
+    last: bool
+
+
+class Credit(_Message, tag=6):
+    """Lets the other end send more content."""
+
+    stream: int
+    size: int
+
+
+class Cancel(_Message, tag=7):
+    """Ends a call whose caller is gone."""
+
+    stream: int
+
+
+class AnswerHead(_Message, tag=8):
+    """The upstream's answer; `data` as in Call."""
+
+    stream: int
+    status: int
+    headers: list[tuple[bytes, bytes]]
+    data: bytes
+    length: int | None
+    complete: bool
+    load: Load
+
+
+class Refusal(_Message, tag=9):
+    """Ends a call without an upstream's answer.
+
+    Attributes:
+        stream: Of the call.
+        kind: Code of the error.
+        detail: One sentence on it.
+        not_run: Whether it is proved that nothing ran.
+        retry_after_s: Seconds after which room is expected.
+        load: As after the decision.
+    """
+
+    stream: int
+    kind: str
+    detail: str
+    not_run: bool
+    retry_after_s: float
+    load: Load
+
+
+class Abort(_Message, tag=10):
+    """Breaks off the content of an answer or a request."""
+
+    stream: int
+
+
+class Status(_Message, tag=11):
+    """What a node tells its peers about its upstream, unasked."""
+
+    target: "TargetRow | None"
+    leaving: bool
+    load: Load
+
+
+# The fleet.
+
+
+class TargetRow(_Message):
+    """An upstream as the node beside it knows it.
+
+    Attributes:
+        target_id: Its name.
+        born: Its start, in milliseconds of its own time of day.
+        service: Which service it is.
+        slots: Requests that it runs at once.
+        usable: Whether it takes new work.
+        cold_s: Seconds for which it is still slow.
+    """
+
+    target_id: str
+    born: int
+    service: str
+    slots: int
+    usable: bool
+    cold_s: float
+
+
+class Row(_Message):
+    """A node as control knows it.
+
+    Attributes:
+        instance: Name of its machine.
+        incarnation: Grows with each start of its process.
+        address: "IP:port" where it takes links.
+        failure_domain: Where it is.
+        service: The service of its machine.
+        leaving: Whether it is being stopped.
+        target: Its upstream, once it has been heard of.
+    """
+
+    instance: str
+    incarnation: int
+    address: str
+    failure_domain: str
+    service: str
+    leaving: bool
+    target: TargetRow | None
+
+
+class Attach(_Message, tag=12):
+    """A node asks a control instance for its state.
+
+    Attributes:
+        row: The node.
+        revision: The desired state that it has, -1 for none.
+    """
+
+    row: Row
+    revision: int
+
+
+class Busy(_Message, tag=13):
+    """A control instance can not serve; where to ask instead.
+
+    Attributes:
+        leader: "IP:port" of the leader, empty where unknown.
+        members: "IP:port" of every member.
+    """
+
+    leader: str
+    members: list[str]
+
+
+class Report(_Message, tag=14):
+    """A node tells control what has changed.
+
+    Attributes:
+        sequence: Number of the report.
+        row: The node, or None where nothing has changed.
+        revision: The desired state in force.
+        grant_sequence: Latest grant that it has applied.
+        held: Part of each organisation's rate that it may use.
+        demand: Requests per second by organisation, or None if unchanged.
+        crashes: Fingerprints with the crash that they were in flight in.
+    """
+
+    sequence: int
+    row: Row | None
+    revision: int
+    grant_sequence: int
+    held: dict[str, float] | None
+    demand: dict[str, float] | None
+    crashes: list[tuple[str, str]]
+
+
+class Update(_Message, tag=15):
+    """Control tells a node what it lacks.
+
+    Attributes:
+        echo: Latest report taken in.
+        revision: The newest desired state.
+        document: It, compressed, or None where the node has it.
+        rows: Nodes that have changed.
+        gone: Names of nodes that have left.
+        complete: Whether `rows` are all nodes.
+        nodes: How many nodes share the rates.
+        members: "IP:port" of every member of control.
+        grant_sequence: Number of this grant, 0 for none.
+        grants: Part of each organisation's rate, or None if unchanged.
+        crashes: As in Report, from all nodes.
+    """
+
+    echo: int
+    revision: int
+    document: bytes | None
+    rows: list[Row]
+    gone: list[str]
+    complete: bool
+    nodes: int
+    members: list[str]
+    grant_sequence: int
+    grants: dict[str, float] | None
+    crashes: list[tuple[str, str]]
+
+
+# Control.
+
+
+class Step(_Message, tag=16):
+    """Raft messages of another member."""
+
+    sender: str
+    disk: str
+    messages: list[raft_messages.Message]
+
+
+class StepReply(_Message, tag=17):
+    """Tells the sender of a Step whether its disk is the one known."""
+
+    wrong_disk: bool
+
+
+class Join(_Message, tag=18):
+    """A control instance asks to become a member.
+
+    Attributes:
+        name: Of the instance and its data folder.
+        address: "IP:port" of its links.
+        failure_domain: Where it is.
+        disk: Names its data folder.
+    """
+
+    name: str
+    address: str
+    failure_domain: str
+    disk: str
+
+
+class Joined(_Message, tag=19):
+    """Answers a Join: whether it is a member, and where to ask."""
+
+    member: bool
+    leader: str
+    members: list[str]
+
+
+Frame = Union[Hello, Ping, Pong, Call, Data, Credit, Cancel, AnswerHead,
+              Refusal, Abort, Status, Attach, Busy, Report, Update, Step,
+              StepReply, Join, Joined]
+
+_ENCODER: Final = msgspec.msgpack.Encoder()
+_DECODER: Final[Any] = msgspec.msgpack.Decoder(Frame)
+
+
+def encode(message: Frame) -> bytes:
+    """Encodes a message with its length in front."""
+    body = _ENCODER.encode(message)
+    return _LENGTH.pack(len(body)) + body
+
+
+def frame_length(data: bytes | bytearray, offset: int) -> int:
+    """Reads the length of the frame that begins at an offset."""
+    found: int = _LENGTH.unpack_from(data, offset)[0]
+    return found
+
+
+def decode(body: bytes | memoryview) -> Frame:
+    """Decodes a message.
+
+    Raises:
+        msgspec.MsgspecError: It is none of the known messages.
+    """
+    found: Frame = _DECODER.decode(body)
+    return found
--- /dev/null
+++ b/src/apricothinge/mesh/attachment.py
@@ -0,0 +1,231 @@
+"""A node's link to the leader of control."""
+
+import asyncio
+import contextlib
+from typing import Final
+
+from apricothinge import log
+from apricothinge import settings
+from apricothinge.link import connection
+from apricothinge.link import frames
+from apricothinge.mesh import documents
+from apricothinge.mesh import holdings
+from apricothinge.mesh import peers
+from apricothinge.mesh import state
+from apricothinge.mesh import upstream
+
+__all__ = ["Attachment"]
+
+_REPORT_S: Final = 0.5
+_SMALLEST_REPORT_S: Final = 0.03
+_RETRY_S: Final = 0.1
+_FIRST_UPDATE_S: Final = 1.0
+_SILENCE_S: Final = 2.0
+
+
+class Attachment(connection.Receiver):
+    """Keeps the node attached to whoever leads control.
+
+    Attributes:
+        attached_to: "IP:port" of the leader, empty while there is none.
+    """
+
+    __slots__ = ("attached_to", "_state", "_peers", "_row", "_known",
+                 "_sweeper", "_loop", "_task", "_link", "_updated_at",
+                 "_sequence", "_grant_sequence", "_told_row", "_told_demand",
+                 "_told_held", "_leader_hint", "_sent_at_by_sequence")
+
+    def __init__(self, node_state: state.NodeState, table: peers.Peers,
+                 row: "RowSource", seeds: list[str],
+                 sweeper: connection.Sweeper) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._state = node_state
+        self._peers = table
+        self._row = row
+        self._known = list(seeds)
+        self._sweeper = sweeper
+        self._task: asyncio.Task[None] | None = None
+        self._link: connection.Link | None = None
+        self._updated_at = 0.0
+        self._sequence = 0
+        self._grant_sequence = 0
+        self._told_row: frames.Row | None = None
+        self._told_demand: dict[str, float] | None = None
+        self._told_held: dict[str, float] | None = None
+        self._leader_hint = ""
+        self._sent_at_by_sequence: dict[int, float] = {}
+        self.attached_to = ""
+
+    def start(self) -> None:
+        """Begins to attach."""
+        self._task = asyncio.ensure_future(self._run())
+
+    async def stop(self) -> None:
+        """Detaches."""
+        if self._task is not None:
+            self._task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._task
+        if self._link is not None:
+            self._link.close()
+
+    def add_seeds(self, seeds: list[str]) -> None:
+        """Takes in more addresses at which control may be found."""
+        for address in seeds:
+            if address not in self._known:
+                self._known.append(address)
+
+    async def _run(self) -> None:
+        place = 0
+        while True:
+            address = self._leader_hint
+            self._leader_hint = ""
+            if not address:
+                address = self._known[place % len(self._known)]
+                place += 1
+            try:
+                await self._attach(address)
+            except OSError as error:
+                log.event("control:unreachable",
+                          address=address,
+                          error=str(error))
+            if self.attached_to:
+                log.event("control:lost", address=self.attached_to)
+                self.attached_to = ""
+            if not self._leader_hint:
+                await asyncio.sleep(_RETRY_S)
+
+    async def _attach(self, address: str) -> None:
+        found = settings.parse_address(address)
+        link = await connection.dial(found.host, found.port, self,
+                                     self._sweeper)
+        self._link = link
+        self._updated_at = 0.0
+        self._told_row = None
+        self._told_demand = None
+        self._told_held = None
+        self._grant_sequence = 0
+        self._sent_at_by_sequence.clear()
+        opened_at = self._loop.time()
+        try:
+            link.send(self._peers.hello)
+            self._told_row = self._row.row()
+            link.send(frames.Attach(self._told_row, self._state.revision))
+            while not link.closed:
+                self._state.changed.clear()
+                link.send(self._report())
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(_REPORT_S):
+                        await self._state.changed.wait()
+                await asyncio.sleep(_SMALLEST_REPORT_S)
+                now = self._loop.time()
+                limit = (self._updated_at + _SILENCE_S if self._updated_at else
+                         opened_at + _FIRST_UPDATE_S)
+                if now > limit:
+                    break
+        finally:
+            link.abort()
+            self._link = None
+
+    def _report(self) -> frames.Report:
+        self._sequence += 1
+        self._sent_at_by_sequence[self._sequence] = holdings.boot_s()
+        row = self._row.row()
+        told_row = None if row == self._told_row else row
+        self._told_row = row
+        held = self._state.holdings.held()
+        told_held = None if held == self._told_held else held
+        self._told_held = held
+        demand = self._state.holdings.demand()
+        told_demand = None if demand == self._told_demand else demand
+        self._told_demand = demand
+        crashes = self._state.crashes
+        told, crashes.outbox = crashes.outbox, []
+        return frames.Report(self._sequence, told_row, self._state.revision,
+                             self._grant_sequence, told_held, told_demand, told)
+
+    # Receiving.
+
+    def opened(self, link: connection.Link) -> None:
+        """Does nothing: the task that dials begins to talk."""
+
+    def lost(self, link: connection.Link) -> None:
+        """Wakes the task."""
+        if link is self._link:
+            self._state.changed.set()
+
+    def received(self, link: connection.Link, message: frames.Frame) -> None:
+        """Takes in what control says."""
+        if isinstance(message, frames.Busy):
+            self.add_seeds(message.members)
+            self._leader_hint = message.leader
+            link.abort()
+            return
+        if not isinstance(message, frames.Update):
+            return
+        if not self._updated_at:
+            self.attached_to = link.peer
+            log.event("control:attached", control=link.peer)
+        self._updated_at = self._loop.time()
+        self._take(message)
+
+    def _take(self, update: frames.Update) -> None:
+        if update.document is not None:
+            self._state.install(
+                documents.Compiled(update.revision,
+                                   documents.unpack(update.document)))
+            self._state.changed.set()
+        table = self._state.holdings
+        table.set_nodes(update.nodes)
+        sent_at = self._sent_at_by_sequence.get(update.echo)
+        if sent_at is not None:
+            table.renew(sent_at)
+            for old in [n for n in self._sent_at_by_sequence if n < update.echo]:
+                del self._sent_at_by_sequence[old]
+        if update.grants is not None:
+            table.grant(update.grants)
+            self._grant_sequence = update.grant_sequence
+            self._state.changed.set()
+        now = self._loop.time()
+        table.tick(now, self._state.compiled)
+        for row in update.rows:
+            self._peers.listed(row)
+        for instance in update.gone:
+            self._peers.unlisted(instance)
+        if update.complete:
+            present = {row.instance for row in update.rows}
+            for instance in set(self._peers.by_instance) - present:
+                self._peers.unlisted(instance)
+        if update.members:
+            self._known = list(update.members)
+        for name, crash in update.crashes:
+            self._state.crashes.crashed(now, name, crash, told=True)
+
+
+class RowSource:
+    """Builds the node's own row from what it knows now."""
+
+    __slots__ = ("_instance", "_incarnation", "_address", "_failure_domain",
+                 "_state", "_upstream")
+
+    def __init__(self, instance: str, incarnation: int, address: str,
+                 failure_domain: str, node_state: state.NodeState,
+                 local: upstream.LocalUpstream) -> None:
+        self._instance = instance
+        self._incarnation = incarnation
+        self._address = address
+        self._failure_domain = failure_domain
+        self._state = node_state
+        self._upstream = local
+
+    def row(self) -> frames.Row:
+        """Returns the row."""
+        target = self._upstream.row()
+        if target is not None:
+            # It counts down by itself; only its start is news.
+            target = frames.TargetRow(target.target_id, target.born,
+                                      target.service, target.slots,
+                                      target.usable, 0.0)
+        return frames.Row(self._instance, self._incarnation, self._address,
+                          self._failure_domain, self._state.service,
+                          self._state.leaving, target)
--- /dev/null
+++ b/src/apricothinge/mesh/dispatch.py
@@ -0,0 +1,193 @@
+"""Sends a request to upstreams until one has answered or none may."""
+
+import asyncio
+from typing import Final
+
+from apricothinge import errors
+from apricothinge import log
+from apricothinge.mesh import names
+from apricothinge.mesh import peers
+from apricothinge.mesh import upstream
+from apricothinge.overload import retries
+from apricothinge.overload import routing
+from apricothinge.web import client
+from apricothinge.web import messages
+
+__all__ = ["Dispatcher"]
+
+# Nodes that refused are asked at most this often in place of others; each
+# costs a round trip, and by then the rest is most likely full as well.
+_PLACEMENTS: Final = 3
+# The budget for repeats is shared by all nodes and grows by a part of the
+# requests; a repeated run also repeats the calls below it.
+_REPEAT_RATIO: Final = 0.01
+_REPEAT_RESERVE: Final = 1.0
+_SMALLEST_LEFT_S: Final = 0.02
+_RETRY_AFTER_S: Final = 0.5
+_FAILED_STATUSES: Final = (500, 502)
+
+
+class _Outcome:
+    """What the last send has come to, where it gave no final answer."""
+
+    __slots__ = ("error", "answer", "reached")
+
+    def __init__(self, error: errors.CallError | None,
+                 answer: messages.Answer | None, reached: bool) -> None:
+        self.error = error
+        self.answer = answer
+        self.reached = reached
+
+
+class Dispatcher:
+    """Places requests and repeats those that may be repeated."""
+
+    __slots__ = ("_own", "_router", "_peers", "_upstream", "_names", "_loop",
+                 "_repeats_by_service")
+
+    def __init__(self, own: str, router: routing.Router, table: peers.Peers,
+                 local: upstream.LocalUpstream,
+                 header_names: names.HeaderNames) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._own = own
+        self._router = router
+        self._peers = table
+        self._upstream = local
+        self._names = header_names
+        self._repeats_by_service: dict[str, retries.RatioCap] = {}
+
+    async def run(self, work: upstream.Work, attempts: int) -> messages.Answer:
+        """Gets an answer.
+
+        Args:
+            work: The request.
+            attempts: Upstreams that it may reach.
+
+        Raises:
+            errors.CallError: There is none.
+        """
+        service = work.call.service
+        repeats = self._repeats_by_service.get(service)
+        if repeats is None:
+            repeats = self._repeats_by_service[service] = retries.RatioCap(
+                _REPEAT_RATIO, _REPEAT_RESERVE)
+        repeats.first_attempt()
+        tried: set[str] = set()
+        placements = 0
+        last: _Outcome | None = None
+        while True:
+            now = self._loop.time()
+            if work.deadline - now < _SMALLEST_LEFT_S and last is None:
+                raise errors.CallError(errors.Kind.EXPIRED)
+            row = self._router.pick(now, service, tried)
+            if row is None:
+                return self._final(last, service)
+            tried.add(row.instance)
+            last = await self._send(row, work)
+            if last.answer is not None and last.error is None:
+                return last.answer
+            if last.reached:
+                attempts -= 1
+                may = (attempts > 0 and work.body.replayable and
+                       self._repeatable(work, last) and
+                       work.deadline - self._loop.time() > _SMALLEST_LEFT_S and
+                       repeats.retry())
+            else:
+                placements += 1
+                may = placements < _PLACEMENTS and work.body.replayable
+            if not may:
+                return self._final(last, service)
+            log.event("request:sent_again",
+                      request=work.call.request_id,
+                      service=service,
+                      after=row.instance,
+                      reached=last.reached,
+                      error=None if last.error is None else last.error.code)
+
+    @staticmethod
+    def _repeatable(work: upstream.Work, last: _Outcome) -> bool:
+        if work.call.idempotent:
+            return True
+        return last.error is not None and last.error.not_run
+
+    @staticmethod
+    def _final(last: _Outcome | None, service: str) -> messages.Answer:
+        if last is None:
+            raise errors.CallError(errors.Kind.NO_UPSTREAM,
+                                   f"no {service} takes work",
+                                   retry_after_s=_RETRY_AFTER_S)
+        if last.answer is not None:
+            return last.answer
+        assert last.error is not None
+        raise last.error
+
+    async def _send(self, row: routing.Upstream,
+                    work: upstream.Work) -> _Outcome:
+        started_at = self._loop.time()
+        self._router.started(row)
+        ended = False
+        try:
+            answer = await self._exchange(row, work)
+            ended = True
+        except errors.CallError as error:
+            ended = True
+            self._learn(row, error)
+            return _Outcome(error, None, not error.not_run)
+        except client.NotConnected as error:
+            ended = True
+            self._router.failed(self._loop.time(), row, at_once=True)
+            return _Outcome(
+                errors.CallError(errors.Kind.NO_UPSTREAM, str(error)), None,
+                False)
+        except client.Lost as error:
+            ended = True
+            self._router.failed(self._loop.time(), row, at_once=False)
+            kind = (errors.Kind.UPSTREAM_FAILED
+                    if work.call.idempotent else errors.Kind.OUTCOME_UNKNOWN)
+            return _Outcome(errors.CallError(kind, str(error)), None, True)
+        finally:
+            if not ended:
+                self._router.ended(row)
+        return self._judge(row, work, answer, started_at)
+
+    async def _exchange(self, row: routing.Upstream,
+                        work: upstream.Work) -> messages.Answer:
+        if row.instance == self._own:
+            return await self._upstream.run(work)
+        peer = self._peers.by_instance.get(row.instance)
+        if peer is None:
+            raise client.NotConnected(f"{row.instance} has left")
+        try:
+            async with asyncio.timeout_at(work.deadline):
+                return await peer.calls.call(work)
+        except TimeoutError:
+            raise errors.CallError(errors.Kind.DEADLINE_EXCEEDED,
+                                   f"no answer from {row.instance}") from None
+
+    def _learn(self, row: routing.Upstream, error: errors.CallError) -> None:
+        if error.kind in (errors.Kind.OVERLOADED, errors.Kind.EXPIRED):
+            self._router.refused(row, 0.0)
+        elif error.kind is errors.Kind.CRASH_SUSPECTED:
+            self._router.ended(row)
+        elif error.kind is errors.Kind.NO_UPSTREAM:
+            self._router.refused(row, 0.0)
+        else:
+            self._router.failed(self._loop.time(), row, at_once=False)
+
+    def _judge(self, row: routing.Upstream, work: upstream.Work,
+               answer: messages.Answer, started_at: float) -> _Outcome:
+        """Tells a final answer from one that another upstream may better."""
+        if messages.header(answer.headers, self._names.not_run) is not None:
+            self._router.refused(row, 0.0)
+            error = errors.CallError(errors.Kind.OVERLOADED,
+                                     "the upstream did not run it")
+            return _Outcome(error, answer, True)
+        if answer.status in _FAILED_STATUSES:
+            self._router.failed(self._loop.time(), row, at_once=False)
+            if work.call.idempotent and answer.rest is None:
+                return _Outcome(
+                    errors.CallError(errors.Kind.UPSTREAM_FAILED,
+                                     f"status {answer.status}"), answer, True)
+            return _Outcome(None, answer, True)
+        self._router.answered(row, self._loop.time() - started_at, 1.0)
+        return _Outcome(None, answer, True)
--- /dev/null
+++ b/src/apricothinge/mesh/entry.py
@@ -0,0 +1,183 @@
+"""The port of callers and of the local upstream: route, key, rate."""
+
+import asyncio
+import random
+import re
+from typing import Final
+
+from apricothinge import errors
+from apricothinge import log
+from apricothinge.link import frames
+from apricothinge.mesh import dispatch
+from apricothinge.mesh import documents
+from apricothinge.mesh import state
+from apricothinge.mesh import upstream
+from apricothinge.overload import crashes
+from apricothinge.web import messages
+from apricothinge.web import server
+
+__all__ = ["EntryHandler"]
+
+# Content up to this size can be sent again and names the request.
+_REPLAY_BYTES: Final = 65536
+_NESTED_RANK: Final = -1
+# An organisation's priority goes before that of a route.
+_RANKS_IN_ORGANISATION: Final = 100
+# Callers whose request did not fit come back spread over this much more time
+# than the wait, so that they do not arrive together.
+_SPREAD: Final = 1.0
+_SMALLEST_RETRY_S: Final = 0.1
+_OUTSIDE: Final = re.compile(r"(^|/)\.{1,2}(/|$)|%2f|%5c|%2e", re.I)
+
+
+class EntryHandler(server.Handler):
+    """Turns requests from this machine into calls."""
+
+    __slots__ = ("_state", "_dispatcher", "_loop", "_random", "_reserved")
+
+    def __init__(self, node_state: state.NodeState,
+                 dispatcher: dispatch.Dispatcher,
+                 source: random.Random) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._state = node_state
+        self._dispatcher = dispatcher
+        self._random = source
+        self._reserved = node_state.names.reserved()
+
+    async def handle(self, request: messages.Request) -> messages.Answer:
+        found = self._state.names
+        request_id = (messages.header(request.headers, found.request_id) or
+                      b"").decode("latin-1")
+        try:
+            answer = await self._handle(request, request_id)
+        except errors.CallError as error:
+            if error.retry_after_s:
+                error.retry_after_s = self._spread(error.retry_after_s)
+            log.event("request:refused" if error.not_run else "request:failed",
+                      request=request_id,
+                      target=request.target,
+                      code=error.code,
+                      detail=error.detail,
+                      retry_after_s=round(error.retry_after_s, 3),
+                      revision=self._state.revision)
+            self._state.count(error.code)
+            raise
+        self._state.count("answered")
+        return answer
+
+    def _spread(self, wait_s: float) -> float:
+        wait_s = max(_SMALLEST_RETRY_S, wait_s)
+        return wait_s * (1.0 + _SPREAD * self._random.random())
+
+    async def _handle(self, request: messages.Request,
+                      request_id: str) -> messages.Answer:
+        compiled = self._state.compiled
+        if compiled is None:
+            raise errors.CallError(errors.Kind.ISOLATED,
+                                   "no desired state has arrived yet",
+                                   retry_after_s=1.0)
+        route = self._route(compiled, request)
+        organisation = self._organisation(compiled, route, request)
+        body = request.body
+        limit = compiled.document.limits.body_bytes
+        if body.length is not None and body.length > limit:
+            raise errors.CallError(errors.Kind.CONTENT_TOO_LARGE)
+        if organisation is not None and not route.anonymous:
+            wait_s = self._state.holdings.take(self._loop.time(), organisation)
+            if wait_s:
+                raise errors.CallError(errors.Kind.RATE_EXCEEDED,
+                                       organisation.name,
+                                       retry_after_s=wait_s)
+        try:
+            await body.fill(_REPLAY_BYTES)
+            compiled = self._state.compiled or compiled
+            if not route.anonymous:
+                # The key may have been withdrawn while the content came.
+                organisation = self._organisation(compiled, route, request)
+            work = self._work(compiled, route, organisation, request,
+                              request_id)
+            if self._state.crashes.refuses(self._loop.time(),
+                                           work.call.fingerprint):
+                raise errors.CallError(errors.Kind.CRASH_SUSPECTED)
+            return await self._run(route, work)
+        except errors.CallError as error:
+            if error.not_run and organisation is not None:
+                self._state.holdings.give_back(organisation)
+            raise
+
+    async def _run(self, route: documents.Route,
+                   work: upstream.Work) -> messages.Answer:
+        attempts = route.attempts
+        self._state.running += 1
+        try:
+            return await self._dispatcher.run(work, attempts)
+        finally:
+            self._state.running -= 1
+
+    def _route(self, compiled: documents.Compiled,
+               request: messages.Request) -> documents.Route:
+        path = request.path
+        if _OUTSIDE.search(path):
+            raise errors.CallError(errors.Kind.MALFORMED_REQUEST,
+                                   "the path leaves its prefix")
+        host = messages.header(request.headers, b"host") or b""
+        route = compiled.route(host.decode("latin-1"), path)
+        if route is None:
+            raise errors.CallError(errors.Kind.UNKNOWN_SERVICE,
+                                   "no route for this host and path")
+        return route
+
+    def _organisation(
+            self, compiled: documents.Compiled, route: documents.Route,
+            request: messages.Request) -> documents.Organisation | None:
+        if not compiled.keyed:
+            return None
+        key = messages.header(request.headers, self._state.names.key)
+        if key is None:
+            if route.anonymous:
+                return None
+            raise errors.CallError(errors.Kind.KEY_MISSING)
+        found = compiled.organisation_by_key(key.decode("latin-1").strip())
+        if found is None and not route.anonymous:
+            raise errors.CallError(errors.Kind.KEY_UNKNOWN)
+        return found
+
+    def _deadline(self, route: documents.Route,
+                  request: messages.Request) -> float:
+        left_s = route.timeout_s
+        text = messages.header(request.headers, self._state.names.deadline_ms)
+        if text is not None:
+            try:
+                left_s = min(left_s, int(text) / 1000)
+            except ValueError:
+                raise errors.CallError(errors.Kind.MALFORMED_REQUEST,
+                                       "the deadline is no number") from None
+        return request.received_at + left_s
+
+    def _work(self, compiled: documents.Compiled, route: documents.Route,
+              organisation: documents.Organisation | None,
+              request: messages.Request, request_id: str) -> upstream.Work:
+        found = self._state.names
+        host = messages.header(request.headers, b"host") or b""
+        headers = [(name, value)
+                   for name, value in messages.end_to_end(request.headers)
+                   if name not in self._reserved]
+        headers.append((b"host", host))
+        headers.append((found.calling_service, self._state.service.encode()))
+        rank = _NESTED_RANK if route.anonymous else route.priority
+        name = ""
+        if organisation is not None:
+            name = organisation.name
+            headers.append((found.organisation, name.encode()))
+            if not route.anonymous:
+                rank += organisation.priority * _RANKS_IN_ORGANISATION
+        body = request.body
+        deadline = self._deadline(route, request)
+        call = frames.Call(
+            0, request.method, request.target, headers, request_id,
+            compiled.service_of(route), rank,
+            route.kind is documents.RouteKind.IDEMPOTENT, False, 0.0,
+            route.latency_objective_s, route.name,
+            crashes.fingerprint(name, request.method, request.target,
+                                body.prefix), b"", body.length, body.complete)
+        return upstream.Work(call, body, deadline)
--- /dev/null
+++ b/src/apricothinge/mesh/hub.py
@@ -0,0 +1,241 @@
+"""The nodes that are attached to the leader of control."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Final
+
+from apricothinge import log
+from apricothinge.link import connection
+from apricothinge.link import frames
+from apricothinge.mesh import allocator
+from apricothinge.mesh import holdings
+from apricothinge.mesh import machine
+
+__all__ = ["Hub"]
+
+_ALLOCATE_S: Final = 0.5
+# A node whose link is lost dials again within a second.
+_LISTED_FOR_S: Final = 3.0
+# All live nodes have attached to a new leader by then.
+_SETTLED_S: Final = 3.0
+_LARGEST_CRASHES: Final = 200
+
+
+class _Listed:
+    """A row with the version of the table at which it changed last.
+
+    Attributes:
+        row: The node.
+        version: Of the table.
+        gone: Whether it has left.
+        lost_at: Loop time at which its link was lost, or None.
+    """
+
+    __slots__ = ("row", "version", "gone", "lost_at")
+
+    def __init__(self, row: frames.Row, version: int) -> None:
+        self.row = row
+        self.version = version
+        self.gone = False
+        self.lost_at: float | None = None
+
+
+class _Attached:
+    """What one node has been told.
+
+    Attributes:
+        instance: Its name.
+        version: Of the table of nodes.
+        revision: Of the desired state.
+        echo: Its latest report.
+        grant: Number of the latest grant that was sent.
+        crashes: How many crash reports it was sent.
+        complete: Whether it was sent a table known to be complete.
+        due: Whether there is something to send.
+    """
+
+    __slots__ = ("instance", "version", "revision", "echo", "grant", "crashes",
+                 "complete", "due")
+
+    def __init__(self, instance: str, revision: int, crashes: int) -> None:
+        self.instance = instance
+        self.version = 0
+        self.revision = revision
+        self.echo = 0
+        self.grant = 0
+        self.crashes = crashes
+        self.complete = False
+        self.due = True
+
+
+class Hub:
+    """Gathers what nodes report and tells each of them what it lacks.
+
+    It exists while its process leads, and starts empty with each term.
+    """
+
+    __slots__ = ("_loop", "_machine", "_members", "_listed_by_instance",
+                 "_attached_by_link", "_version", "_started_at", "_allocator",
+                 "_crashes", "_known_crashes", "_allocated_at", "_organisations")
+
+    def __init__(self, state: machine.MeshMachine,
+                 members: Callable[[], list[str]], *, fresh: bool) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._machine = state
+        self._members = members
+        self._listed_by_instance: dict[str, _Listed] = {}
+        self._attached_by_link: dict[connection.Link, _Attached] = {}
+        self._version = 0
+        self._started_at = self._loop.time()
+        self._allocator = allocator.Allocator(holdings.boot_s(), fresh=fresh)
+        self._crashes: list[tuple[str, str]] = []
+        self._known_crashes: set[tuple[str, str]] = set()
+        self._allocated_at = 0.0
+        self._organisations: list[str] = []
+
+    def set_organisations(self, names: list[str]) -> None:
+        """Takes in whose rates are divided."""
+        self._organisations = names
+
+    def rows(self) -> list[frames.Row]:
+        """Nodes that are listed."""
+        return [
+            listed.row
+            for listed in self._listed_by_instance.values()
+            if not listed.gone
+        ]
+
+    def attach(self, link: connection.Link, message: frames.Attach) -> None:
+        """Takes in a node."""
+        instance = message.row.instance
+        for other, attached in list(self._attached_by_link.items()):
+            if attached.instance == instance:
+                del self._attached_by_link[other]
+                other.abort()
+        self._attached_by_link[link] = _Attached(instance, message.revision, 0)
+        self._allocator.attached(holdings.boot_s(), instance,
+                                 message.row.incarnation)
+        self._put(message.row)
+        log.event("hub:attached",
+                  node=instance,
+                  incarnation=message.row.incarnation,
+                  revision=message.revision)
+
+    def _put(self, row: frames.Row) -> None:
+        listed = self._listed_by_instance.get(row.instance)
+        if listed is not None and row.incarnation < listed.row.incarnation:
+            return
+        self._version += 1
+        if listed is None:
+            listed = _Listed(row, self._version)
+            self._listed_by_instance[row.instance] = listed
+        listed.row = row
+        listed.version = self._version
+        listed.gone = False
+        listed.lost_at = None
+        self._all_due()
+
+    def _all_due(self) -> None:
+        for attached in self._attached_by_link.values():
+            attached.due = True
+
+    def report(self, link: connection.Link, message: frames.Report) -> None:
+        """Takes in a report."""
+        attached = self._attached_by_link.get(link)
+        if attached is None:
+            return
+        attached.echo = message.sequence
+        attached.due = True
+        attached.revision = max(attached.revision, message.revision)
+        if message.row is not None:
+            self._put(message.row)
+        self._allocator.report(holdings.boot_s(), attached.instance,
+                               message.grant_sequence, message.held,
+                               message.demand)
+        for crash in message.crashes:
+            if crash not in self._known_crashes:
+                self._known_crashes.add(crash)
+                self._crashes.append(crash)
+                self._all_due()
+
+    def lost(self, link: connection.Link) -> None:
+        """Takes in that a node's link has ended."""
+        attached = self._attached_by_link.pop(link, None)
+        if attached is None:
+            return
+        self._allocator.detached(attached.instance)
+        listed = self._listed_by_instance.get(attached.instance)
+        if listed is not None:
+            listed.lost_at = self._loop.time()
+
+    def changed(self) -> None:
+        """Takes in that there is a new desired state."""
+        self._all_due()
+        self.send()
+
+    def tick(self) -> None:
+        """Lists who has left, divides rates, and sends what is due."""
+        now = self._loop.time()
+        for listed in self._listed_by_instance.values():
+            if (listed.lost_at is not None and not listed.gone and
+                    now - listed.lost_at > _LISTED_FOR_S):
+                listed.gone = True
+                self._version += 1
+                listed.version = self._version
+                self._all_due()
+                log.event("hub:node_gone", node=listed.row.instance)
+        if now - self._allocated_at >= _ALLOCATE_S:
+            self._allocated_at = now
+            boot_s = holdings.boot_s()
+            self._allocator.expire(boot_s)
+            self._allocator.step(boot_s, self._organisations)
+        self.send()
+
+    def send(self) -> None:
+        """Sends updates to the nodes that lack something."""
+        settled = self._loop.time() - self._started_at >= _SETTLED_S
+        for link, attached in list(self._attached_by_link.items()):
+            grant = self._allocator.grant(attached.instance)
+            if (not attached.due and
+                (grant is None or grant[0] == attached.grant) and
+                    attached.revision >= self._machine.revision):
+                continue
+            attached.due = False
+            link.send(self._update(attached, settled, grant))
+
+    def _update(self, attached: _Attached, settled: bool,
+                grant: tuple[int, dict[str, float]] | None) -> frames.Update:
+        document = None
+        if attached.revision < self._machine.revision:
+            document = self._machine.document
+            attached.revision = self._machine.revision
+        complete = settled and not attached.complete
+        since = 0 if complete else attached.version
+        attached.complete = attached.complete or complete
+        rows = []
+        gone = []
+        for instance, listed in self._listed_by_instance.items():
+            if listed.version <= since:
+                continue
+            if listed.gone:
+                gone.append(instance)
+            else:
+                rows.append(listed.row)
+        attached.version = self._version
+        grants = None
+        number = 0
+        if grant is not None and grant[0] != attached.grant:
+            number, grants = grant
+            attached.grant = number
+        crashes = self._crashes[attached.crashes:][-_LARGEST_CRASHES:]
+        attached.crashes = len(self._crashes)
+        return frames.Update(attached.echo, self._machine.revision, document,
+                             rows, gone, complete, self._allocator.nodes,
+                             self._members(), number, grants, crashes)
+
+    def stop(self, busy: frames.Busy) -> None:
+        """Sends all nodes away, since this process leads no more."""
+        for link in list(self._attached_by_link):
+            link.send(busy)
+        self._attached_by_link.clear()
+
--- /dev/null
+++ b/src/apricothinge/mesh/state.py
@@ -0,0 +1,74 @@
+"""The tables of a mesh node, shared by the systems that run over them."""
+
+import asyncio
+import collections
+
+from apricothinge import log
+from apricothinge.mesh import documents
+from apricothinge.mesh import holdings
+from apricothinge.mesh import names
+from apricothinge.overload import crashes
+
+__all__ = ["NodeState"]
+
+_CRASHES: int = 3
+
+
+class NodeState:
+    """What a node knows and decides by.
+
+    Attributes:
+        names: Names of headers.
+        compiled: The desired state in force, or None.
+        holdings: Its parts of the organisations' rates.
+        crashes: Requests that crash upstreams.
+        running: Requests from this machine in progress.
+        leaving: Whether it is being stopped.
+        changed: Set where control should be told something.
+        outcomes: Requests from this machine by outcome.
+    """
+
+    __slots__ = ("names", "compiled", "holdings", "crashes", "running",
+                 "leaving", "changed", "outcomes", "_service", "_announced")
+
+    def __init__(self, header_names: names.HeaderNames, service: str) -> None:
+        self.names = header_names
+        self.compiled: documents.Compiled | None = None
+        self.holdings = holdings.Holdings(
+            asyncio.get_running_loop().time())
+        self.crashes = crashes.CrashTable(_CRASHES)
+        self.running = 0
+        self.leaving = False
+        self.changed = asyncio.Event()
+        self.outcomes: collections.Counter[str] = collections.Counter()
+        self._service = service
+        self._announced = ""
+
+    @property
+    def service(self) -> str:
+        """The service that runs on this machine."""
+        return self._announced or self._service
+
+    def announced(self, service: str) -> None:
+        """Takes in which service the upstream says it is."""
+        self._announced = service
+
+    @property
+    def revision(self) -> int:
+        """The desired state in force, -1 for none."""
+        return -1 if self.compiled is None else self.compiled.revision
+
+    def install(self, compiled: documents.Compiled) -> bool:
+        """Puts a newer desired state in force; never an older one."""
+        if compiled.revision <= self.revision:
+            return False
+        self.compiled = compiled
+        log.event("state:in_force",
+                  revision=compiled.revision,
+                  version=compiled.document.version,
+                  routes=len(compiled.document.routes))
+        return True
+
+    def count(self, outcome: str) -> None:
+        """Counts a request from this machine."""
+        self.outcomes[outcome] += 1
--- /dev/null
+++ b/src/apricothinge/mesh/upstream.py
@@ -0,0 +1,345 @@
+"""The upstream beside a node: its lifetime, its queue, its requests."""
+
+import asyncio
+import collections
+from typing import Final
+
+from apricothinge import errors
+from apricothinge import log
+from apricothinge import settings
+from apricothinge.link import frames
+from apricothinge.mesh import names
+from apricothinge.mesh import waiting
+from apricothinge.overload import crashes
+from apricothinge.web import client
+from apricothinge.web import messages
+
+__all__ = ["CheckIn", "LocalUpstream", "Work"]
+
+_PROBE_S: Final = 0.25
+# Work lost within this time belongs to the same crash.
+_CRASH_WINDOW_S: Final = 0.5
+_SMALLEST_LEFT_S: Final = 0.01
+# An upstream's own clean-up answers shortly after the deadline that it got.
+_ANSWER_SLACK_S: Final = 0.05
+
+
+class CheckIn:
+    """What an upstream says of itself.
+
+    Attributes:
+        upstream_id: Its name.
+        born: Its start in milliseconds of its own time of day.
+        sequence: Grows with each check-in of a lifetime.
+        service: Which service it is.
+        slots: Requests that it runs at once.
+        draining: Whether it takes no new work.
+        cold_s: Seconds for which it is still slow.
+    """
+
+    __slots__ = ("upstream_id", "born", "sequence", "service", "slots",
+                 "draining", "cold_s")
+
+    def __init__(self, upstream_id: str, born: int, sequence: int, service: str,
+                 slots: int, draining: bool, cold_s: float) -> None:
+        self.upstream_id = upstream_id
+        self.born = born
+        self.sequence = sequence
+        self.service = service
+        self.slots = slots
+        self.draining = draining
+        self.cold_s = cold_s
+
+
+class Work:
+    """One request for the upstream.
+
+    Attributes:
+        call: What is asked, as it comes from the node at the entry.
+        body: Its content.
+        deadline: Loop time in seconds.
+    """
+
+    __slots__ = ("call", "body", "deadline")
+
+    def __init__(self, call: frames.Call, body: messages.Body,
+                 deadline: float) -> None:
+        self.call = call
+        self.body = body
+        self.deadline = deadline
+
+
+class LocalUpstream:
+    """Runs requests on the upstream of this machine.
+
+    Attributes:
+        changed: Called when what others should know has changed.
+        in_flight: Fingerprints that run now, with how often.
+    """
+
+    __slots__ = ("changed", "in_flight", "_address", "_names", "_pool", "_loop",
+                 "_queue", "_known", "_usable", "_gone_ids", "_probing",
+                 "_crashes", "_cold_until", "_incarnation", "_losses",
+                 "_lost_at")
+
+    def __init__(self, address: settings.Address,
+                 header_names: names.HeaderNames, pool: client.Pool,
+                 table: crashes.CrashTable, incarnation: int) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._address = address
+        self._names = header_names
+        self._pool = pool
+        self._crashes = table
+        self._queue = waiting.Queue()
+        self._known: CheckIn | None = None
+        self._usable = False
+        self._gone_ids: collections.deque[str] = collections.deque(maxlen=64)
+        self._probing: asyncio.Task[None] | None = None
+        self._cold_until = 0.0
+        self._incarnation = incarnation
+        self._losses = 0
+        self._lost_at = 0.0
+        self.changed = _nothing
+        self.in_flight: collections.Counter[str] = collections.Counter()
+
+    @property
+    def service(self) -> str:
+        """The service that it has announced, empty before."""
+        return "" if self._known is None else self._known.service
+
+    def row(self) -> frames.TargetRow | None:
+        """What other nodes are told of it."""
+        known = self._known
+        if known is None:
+            return None
+        cold_s = max(0.0, self._cold_until - self._loop.time())
+        return frames.TargetRow(known.upstream_id, known.born, known.service,
+                                known.slots, self._usable, round(cold_s, 1))
+
+    def load(self) -> frames.Load:
+        """How full it is."""
+        queue = self._queue
+        return frames.Load(queue.running, queue.queued, queue.limit,
+                           round(queue.expected_wait_s(0), 3))
+
+    # Check-ins.
+
+    def check_in(self, told: CheckIn) -> None:
+        """Takes in a check-in; a late one of a former lifetime is ignored."""
+        known = self._known
+        if told.upstream_id in self._gone_ids and (
+                known is None or told.born <= known.born):
+            return
+        if known is not None:
+            if told.born < known.born:
+                return
+            same = (told.born == known.born and
+                    told.upstream_id == known.upstream_id)
+            if same and told.sequence <= known.sequence:
+                return
+            if not same:
+                self._new_lifetime(told)
+        else:
+            self._new_lifetime(told)
+        self._known = told
+        self._queue.slots = told.slots
+        self._cold_until = self._loop.time() + told.cold_s
+        usable = not told.draining
+        if usable and not self._usable and self._probing is not None:
+            # A probe decides when it listens again.
+            return
+        self._set_usable(usable, "check_in")
+
+    def _new_lifetime(self, told: CheckIn) -> None:
+        log.event("upstream:seen",
+                  upstream=told.upstream_id,
+                  born=told.born,
+                  service=told.service,
+                  slots=told.slots)
+        if self._probing is not None:
+            self._probing.cancel()
+            self._probing = None
+        self._pool.drop(self._address)
+
+    def leave(self, upstream_id: str, born: int | None) -> None:
+        """Takes in that a lifetime ends: it gets no new work."""
+        known = self._known
+        self._gone_ids.append(upstream_id)
+        if known is None or known.upstream_id != upstream_id:
+            return
+        if born is not None and born < known.born:
+            return
+        known.draining = True
+        self._set_usable(False, "left")
+
+    def _set_usable(self, usable: bool, why: str) -> None:
+        if self._usable == usable:
+            return
+        self._usable = usable
+        known = self._known
+        log.event("upstream:usable" if usable else "upstream:unusable",
+                  upstream="" if known is None else known.upstream_id,
+                  why=why,
+                  running=self._queue.running,
+                  queued=self._queue.queued)
+        if not usable:
+            for ticket in self._queue.drain():
+                _wake(ticket, False)
+        self.changed()
+
+    def _down(self) -> None:
+        """Nothing listens: finds out when something does again."""
+        self._set_usable(False, "down")
+        if self._probing is None or self._probing.done():
+            self._probing = asyncio.ensure_future(self._probe())
+
+    async def _probe(self) -> None:
+        while True:
+            await asyncio.sleep(_PROBE_S)
+            if await self._pool.probe(self._address):
+                break
+        self._probing = None
+        if self._known is not None and not self._known.draining:
+            self._set_usable(True, "listens")
+
+    # Requests.
+
+    async def run(self, work: Work) -> messages.Answer:
+        """Runs a request once there is room.
+
+        Raises:
+            errors.CallError: It did not fit, or the answer was lost.
+        """
+        call = work.call
+        known = self._known
+        if known is None or not self._usable or known.service != call.service:
+            raise errors.CallError(errors.Kind.NO_UPSTREAM,
+                                   f"no {call.service} here takes work")
+        if self._crashes.refuses(self._loop.time(), call.fingerprint):
+            raise errors.CallError(errors.Kind.CRASH_SUSPECTED)
+        await self._admit(work)
+        started_at = self._loop.time()
+        answer: messages.Answer | None = None
+        try:
+            answer = await self._exchange(work)
+        finally:
+            if answer is None or answer.rest is None:
+                self._release(started_at)
+        if answer.rest is not None:
+            answer.on_done = lambda whole: self._release(started_at)
+        return answer
+
+    async def _admit(self, work: Work) -> None:
+        now = self._loop.time()
+        left_s = work.deadline - now
+        if left_s < _SMALLEST_LEFT_S:
+            raise errors.CallError(errors.Kind.EXPIRED)
+        rank = work.call.rank
+        ticket = waiting.Ticket(
+            rank, now +
+            waiting.Queue.patience_s(rank < 0, left_s, work.call.objective_s), now)
+        try:
+            verdict = self._queue.offer(now, ticket)
+        except waiting.Refused as refused:
+            raise errors.CallError(errors.Kind.OVERLOADED,
+                                   retry_after_s=refused.wait_s) from None
+        if verdict == waiting.Verdict.RUN:
+            return
+        turn: asyncio.Future[bool] = self._loop.create_future()
+        ticket.owner = turn
+        try:
+            admitted = await turn
+        except asyncio.CancelledError:
+            if turn.done() and not turn.cancelled() and turn.result():
+                self._release(self._loop.time())
+            self._queue.withdraw(ticket)
+            raise
+        if not admitted:
+            raise errors.CallError(
+                errors.Kind.OVERLOADED
+                if self._usable else errors.Kind.NO_UPSTREAM,
+                retry_after_s=self._queue.expected_wait_s(rank))
+
+    def _release(self, started_at: float) -> None:
+        self._queue.finished(self._loop.time() - started_at)
+        self.advance()
+
+    def advance(self) -> None:
+        """Refuses what waited for too long and starts what has room."""
+        for ticket in self._queue.expired(self._loop.time()):
+            _wake(ticket, False)
+        if not self._usable:
+            return
+        for ticket in self._queue.ready():
+            if not _wake(ticket, True):
+                self._queue.running -= 1
+
+    def _headers(self, work: Work, known: CheckIn) -> messages.Headers:
+        left_ms = max(1, int((work.deadline - self._loop.time()) * 1000))
+        return work.call.headers + [
+            (self._names.deadline_ms, b"%d" % left_ms),
+            (self._names.expected_upstream, known.upstream_id.encode())
+        ]
+
+    async def _exchange(self, work: Work) -> messages.Answer:
+        call = work.call
+        known = self._known
+        assert known is not None
+        self.in_flight[call.fingerprint] += 1
+        try:
+            async with asyncio.timeout_at(work.deadline + _ANSWER_SLACK_S):
+                answer = await self._pool.exchange(
+                    self._address,
+                    call.method,
+                    call.target,
+                    self._headers(work, known),
+                    work.body,
+                    expects=(self._names.request_id, call.request_id.encode()))
+        except TimeoutError:
+            raise errors.CallError(errors.Kind.DEADLINE_EXCEEDED,
+                                   "the upstream was silent") from None
+        except client.NotConnected as error:
+            self._down()
+            raise errors.CallError(errors.Kind.NO_UPSTREAM,
+                                   str(error)) from None
+        except client.Lost as error:
+            await self._note_loss(str(error))
+            raise errors.CallError(
+                errors.Kind.UPSTREAM_FAILED if call.idempotent else
+                errors.Kind.OUTCOME_UNKNOWN, str(error)) from None
+        finally:
+            self.in_flight[call.fingerprint] -= 1
+            if self.in_flight[call.fingerprint] <= 0:
+                del self.in_flight[call.fingerprint]
+        self._crashes.answered(self._loop.time(), call.fingerprint)
+        return answer
+
+    async def _note_loss(self, detail: str) -> None:
+        """Tells a crash of the upstream from the loss of one answer."""
+        now = self._loop.time()
+        suspects = list(self.in_flight)
+        if now - self._lost_at > _CRASH_WINDOW_S:
+            self._losses += 1
+        self._lost_at = now
+        crash_id = f"{self._address}:{self._incarnation}:{self._losses}"
+        if not self._usable:
+            return
+        if await self._pool.probe(self._address):
+            return
+        self._down()
+        log.event("upstream:crashed", error=detail, in_flight=len(suspects))
+        for name in suspects:
+            self._crashes.crashed(now, name, crash_id)
+
+
+def _nothing() -> None:
+    """Stands in until somebody wants to know."""
+
+
+def _wake(ticket: waiting.Ticket, admitted: bool) -> bool:
+    turn = ticket.owner
+    assert isinstance(turn, asyncio.Future)
+    if turn.done():
+        return False
+    turn.set_result(admitted)
+    return True
--- a/src/apricothinge/overload/crashes.py
+++ b/src/apricothinge/overload/crashes.py
@@ -46,9 +46,15 @@
     it never gets that far, while its innocent neighbours do.
     """
 
-    __slots__ = ("_by_fingerprint", "outbox")
+    __slots__ = ("_by_fingerprint", "_limit", "outbox")
 
-    def __init__(self) -> None:
+    def __init__(self, limit: int = _LIMIT) -> None:
+        """Starts with no suspicion.
+
+        Args:
+            limit: Crashes after which a request is refused.
+        """
+        self._limit = limit
         self._by_fingerprint: dict[str, _Row] = {}
         self.outbox: list[tuple[str, str]] = []
 
@@ -80,7 +86,7 @@
             return
         row.crash_ids.add(crash_id)
         row.seen_at = now
-        if len(row.crash_ids) >= _LIMIT:
+        if len(row.crash_ids) >= self._limit:
             row.condemned_until = now + _CONDEMNED_LIFE_S
         if not told:
             self.outbox.append((name, crash_id))
--- a/src/apricothinge/overload/retries.py
+++ b/src/apricothinge/overload/retries.py
@@ -54,19 +54,29 @@
 
 
 class RatioCap:
-    """Keeps a node's retries under a tenth of its first attempts."""
+    """Keeps a node's retries under a part of its first attempts."""
 
-    __slots__ = ("_reserve", "first_attempts", "retries")
+    __slots__ = ("_reserve", "_ratio", "_largest", "first_attempts", "retries")
 
-    def __init__(self) -> None:
-        self._reserve = _LARGEST_RESERVE
+    def __init__(self,
+                 ratio: float = _RATIO,
+                 largest_reserve: float = _LARGEST_RESERVE) -> None:
+        """Starts with a full reserve.
+
+        Args:
+            ratio: Retries for each first attempt.
+            largest_reserve: Retries that may come at once.
+        """
+        self._reserve = largest_reserve
+        self._ratio = ratio
+        self._largest = largest_reserve
         self.first_attempts = 0
         self.retries = 0
 
     def first_attempt(self) -> None:
         """Counts a first attempt."""
         self.first_attempts += 1
-        self._reserve = min(_LARGEST_RESERVE, self._reserve + _RATIO)
+        self._reserve = min(self._largest, self._reserve + self._ratio)
 
     def retry(self) -> bool:
         """Takes room for one retry; False where there is none."""
--- a/src/apricothinge/overload/routing.py
+++ b/src/apricothinge/overload/routing.py
@@ -16,6 +16,10 @@
 _LONGEST_EJECTION_S: Final = 30.0
 _EJECTED_PART: Final = 0.5
 _ROOM: Final = 0.9
+# A place whose upstreams are fuller than this gets no preference.
+_NEAR_FULL: Final = 0.7
+# A cold upstream needs about twice the time for each call.
+_COLD_PART: Final = 0.5
 _LEVEL_GAIN: Final = 0.2
 _LEVEL_RECOVERY: Final = 0.1
 
@@ -38,12 +42,16 @@
         ejections: Ejections in a row, for the back-off.
         ejected_until: Time in seconds until which it gets no calls.
         started_at: Time in seconds at which its slow start began.
+        cold_until: Time in seconds until which it says that it is slow.
+        fullness: Its slots in use as last told, 1 for all of them.
+        sent_since: Calls sent to it from here since that was told.
+        slots: Calls that it runs at once, 0 where that is not known.
     """
 
     __slots__ = ("instance", "service", "failure_domain", "region", "peer",
                  "draining", "incarnation", "outstanding", "latency_s",
                  "admitted_part", "failures", "ejections", "ejected_until",
-                 "started_at")
+                 "started_at", "cold_until", "fullness", "sent_since", "slots")
 
     def __init__(self, instance: str, service: str, failure_domain: str,
                  region: str, peer: settings.Address, draining: bool,
@@ -62,6 +70,22 @@
         self.ejections = 0
         self.ejected_until = 0.0
         self.started_at = now
+        self.cold_until = 0.0
+        self.fullness = 0.0
+        self.sent_since = 0
+        self.slots = 0
+
+    def take_load(self, now: float, running: int, queued: int,
+                  slots: int) -> None:
+        """Takes in how full it says that it is."""
+        del now
+        self.slots = slots
+        self.fullness = (running + queued) / max(1, slots)
+        self.sent_since = 0
+
+    def filled(self) -> float:
+        """Its slots in use, with what was sent since it told."""
+        return self.fullness + self.sent_since / max(1, self.slots)
 
     def usable(self, now: float) -> bool:
         """Tells whether it takes new work and is not ejected."""
@@ -71,6 +95,11 @@
         """The expected wait, larger while it starts slowly."""
         age = (now - self.started_at) / _SLOW_START_S
         ramp = min(1.0, max(_SLOW_START_SMALLEST, age))
+        if now < self.cold_until:
+            ramp *= _COLD_PART
+        if self.slots:
+            # Waiting begins when the slots are used up, not in proportion.
+            return (self.filled() + 1.0 / self.slots) * self.latency_s / ramp
         return (self.outstanding + 1) * self.latency_s / ramp
 
 
@@ -117,6 +146,12 @@
         known.draining = row.draining
         known.incarnation = row.incarnation
 
+    def set_cold(self, instance: str, now: float, cold_s: float) -> None:
+        """Takes in for how many seconds an instance says it is slow."""
+        row = self.by_instance.get(instance)
+        if row is not None:
+            row.cold_until = now + cold_s
+
     def remove(self, instance: str) -> None:
         """Forgets an instance that has left."""
         self.nodes_by_instance.pop(instance, None)
@@ -156,7 +191,9 @@
     def _nearest(self, rows: list[Upstream]) -> list[Upstream]:
         """Leaves out farther places while nearer ones have room."""
         chosen = [
-            row for row in rows if row.failure_domain == self._failure_domain
+            row for row in rows
+            if row.failure_domain == self._failure_domain and
+            row.filled() < _NEAR_FULL
         ]
         if any(row.admitted_part >= _ROOM for row in chosen):
             return chosen
@@ -168,6 +205,7 @@
     def started(self, row: Upstream) -> None:
         """Takes in that a call is on its way."""
         row.outstanding += 1
+        row.sent_since += 1
 
     def answered(self, row: Upstream, latency_s: float,
                  admitted_part: float) -> None:
--- /dev/null
+++ b/src/apricothinge/platform/wire.py
@@ -0,0 +1,283 @@
+"""Headers, paths and bodies of the platform, decoded into product types."""
+
+import hashlib
+import re
+from typing import Annotated, Any, Final
+
+import msgspec
+
+from apricothinge import errors
+from apricothinge.mesh import documents
+from apricothinge.mesh import names
+from apricothinge.mesh import upstream
+
+__all__ = [
+    "BASE_VERSION", "HEADERS", "CHECK_IN", "DEREGISTER", "READ", "READINESS",
+    "REPLACE", "SETTINGS_VARIABLE", "Change", "change", "check_in", "born"
+]
+
+SETTINGS_VARIABLE: Final = "APRICOTHINGE_NODE_FILE"
+READINESS: Final = "/v1/readiness"
+REPLACE: Final = "/v1/Config.Replace"
+READ: Final = "/v1/Config.Get"
+CHECK_IN: Final = "/v1/Instances.Heartbeat/"
+DEREGISTER: Final = "/v1/Instances.Deregister/"
+BASE_VERSION: Final = b"base-version"
+
+HEADERS: Final = names.HeaderNames(request_id=b"attempt-id",
+                                   deadline_ms=b"deadline-ms",
+                                   key=b"credential",
+                                   organisation=b"tenant-id",
+                                   calling_service=b"caller-service",
+                                   expected_upstream=b"intended-instance",
+                                   not_run=b"not-executed")
+
+# The platform's bound on a route's timeout.
+_LONGEST_TIMEOUT_S: Final = 600.0
+_VERSION: Final = re.compile(r"r?([0-9]{1,18})")
+
+
+class _CheckIn(msgspec.Struct):
+    """A check-in.
+
+    Attributes:
+        service: The service of the upstream.
+        slots: Requests that it runs at once.
+        state: `ready` or `draining`.
+        seq: Grows with each check-in of a lifetime.
+        born: Its start, in milliseconds of its time of day.
+        coldLeftS: Seconds for which it is still slow.
+    """
+
+    service: str
+    slots: Annotated[int, msgspec.Meta(ge=1)]
+    state: str
+    seq: int
+    born: int
+    coldLeftS: float = 0.0  # pylint: disable=invalid-name
+
+
+class _Born(msgspec.Struct):
+    """The part of a deregistration that tells lifetimes apart."""
+
+    born: int | None = None
+
+
+class _Table(msgspec.Struct):
+    """Rows of values in the order of their field names."""
+
+    columns: list[str]
+    rows: list[list[Any]]
+
+    def by_name(self) -> list[dict[str, Any]]:
+        """Returns the rows by field name, without what is null."""
+        found = []
+        for row in self.rows:
+            if len(row) != len(self.columns):
+                raise _invalid("rows", f"{len(row)} values",
+                               f"{len(self.columns)}")
+            found.append({
+                name: value
+                for name, value in zip(self.columns, row)
+                if value is not None
+            })
+        return found
+
+
+class _Part(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct, rename="camel"):
+    """A route; the names differ from the product's in these:
+
+    Attributes:
+        hostname: Host of its requests.
+        route_type: What may be repeated.
+        slo_latency_s: Its latency objective in seconds.
+        max_attempts: Upstreams that one request may be sent to.
+        allow_anonymous: Whether it needs no key.
+        weighted_split: Services with their weights, in place of `service`.
+    """
+
+    name: str
+    hostname: str
+    path_prefix: str
+    route_type: str
+    timeout_s: float = _LONGEST_TIMEOUT_S
+    slo_latency_s: float | None = None
+    priority: int = 0
+    max_attempts: int = 1
+    allow_anonymous: bool = False
+    service: str | None = None
+    weighted_split: list[_Part] | None = None
+
+
+class _Service(msgspec.Struct, rename="camel"):
+    """A service; `max_conns` bounds connections to one upstream of it."""
+
+    name: str
+    max_conns: int = 0
+
+
+class _Tenant(msgspec.Struct, rename="camel"):
+    """An organisation; `rate_per_s` and `burst` of 0 mean no limit."""
+
+    name: str
+    api_keys: list[str] = []
+    priority: int = 0
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+
+class _Limits(msgspec.Struct, rename="camel"):
+    max_header_bytes: int = 32768
+    max_body_bytes: int = 64 << 20
+    header_timeout_s: float = 10.0
+    idle_timeout_s: float = 75.0
+
+
+class _State(msgspec.Struct):
+    version: str
+    routes: _Table
+    services: _Table
+    tenants: _Table | None = None
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+class Change:
+    """An operator's change of the desired state.
+
+    Attributes:
+        change_id: Names it by its whole content.
+        base: Version that it was made from.
+        document: The new desired state.
+    """
+
+    __slots__ = ("change_id", "base", "document")
+
+    def __init__(self, change_id: bytes, base: int,
+                 document: documents.Document) -> None:
+        self.change_id = change_id
+        self.base = base
+        self.document = document
+
+
+def _invalid(field: str, found: object,
+             expected: object) -> errors.ApricothingeError:
+    return errors.ApricothingeError(
+        errors.Kind.CONFIGURATION_INVALID,
+        f"{field}: found {found}, expected {expected}")
+
+
+def _version(text: str, field: str) -> int:
+    found = _VERSION.fullmatch(text)
+    if found is None:
+        raise _invalid(field, repr(text), "r and a number")
+    return int(found[1])
+
+
+def _route(place: int, row: _Route,
+           service_names: set[str]) -> documents.Route:
+    field = f"routes[{place}] {row.name}"
+    try:
+        kind = documents.RouteKind(row.route_type)
+    except ValueError:
+        raise _invalid(f"{field} routeType", repr(row.route_type),
+                       [kind.value for kind in documents.RouteKind]) from None
+    if row.timeout_s > _LONGEST_TIMEOUT_S:
+        raise _invalid(f"{field} timeoutS", row.timeout_s,
+                       f"{_LONGEST_TIMEOUT_S:g} at most")
+    if row.max_attempts < 1:
+        raise _invalid(f"{field} maxAttempts", row.max_attempts, "1 at least")
+    parts = [
+        documents.Part(part.service, part.weight)
+        for part in row.weighted_split or []
+    ]
+    if row.weighted_split is None and row.service is not None:
+        parts = [documents.Part(row.service, 1.0)]
+    for part in parts:
+        if part.service not in service_names:
+            raise _invalid(f"{field} service", repr(part.service),
+                           "a service of the same state")
+        if part.weight < 0:
+            raise _invalid(f"{field} weight", part.weight, "0 at least")
+    if not sum(part.weight for part in parts) > 0:
+        raise _invalid(f"{field} weights", "a sum of 0", "more than 0")
+    objective_s = (row.timeout_s
+                   if row.slo_latency_s is None else row.slo_latency_s)
+    return documents.Route(row.name, row.hostname, row.path_prefix, kind,
+                           row.timeout_s, objective_s, row.priority,
+                           row.max_attempts, row.allow_anonymous, parts)
+
+
+def change(base: bytes | None, text: bytes) -> Change:
+    """Decodes and checks a change.
+
+    Args:
+        base: Header with the version that it was made from.
+        text: The desired state in JSON.
+
+    Raises:
+        errors.ApricothingeError: CONFIGURATION_INVALID, with the field, what
+            was found and what was expected.
+    """
+    try:
+        plain = msgspec.json.decode(text)
+        state = msgspec.convert(plain, _State, strict=True)
+        routes = msgspec.convert(state.routes.by_name(), list[_Route])
+        services = msgspec.convert(state.services.by_name(), list[_Service])
+        tenants = (None if state.tenants is None else msgspec.convert(
+            state.tenants.by_name(), list[_Tenant]))
+    except msgspec.MsgspecError as error:
+        raise errors.ApricothingeError(errors.Kind.CONFIGURATION_INVALID,
+                                       str(error)) from None
+    service_names = {row.name for row in services}
+    document = documents.Document(
+        _version(state.version, "version"), [
+            _route(place, row, service_names)
+            for place, row in enumerate(routes)
+        ], [documents.Service(row.name, row.max_conns) for row in services],
+        None if tenants is None else [
+            documents.Organisation(row.name, row.api_keys, row.priority,
+                                   row.rate_per_s, row.burst)
+            for row in tenants
+        ],
+        documents.ClientLimits(state.limits.max_header_bytes,
+                               state.limits.max_body_bytes,
+                               state.limits.header_timeout_s,
+                               state.limits.idle_timeout_s))
+    number = _version((base or b"0").decode("latin-1").strip(), "Base-Version")
+    digest = hashlib.sha256(msgspec.json.encode(plain, order="deterministic"))
+    digest.update(str(number).encode())
+    return Change(digest.digest(), number, document)
+
+
+def check_in(upstream_id: str, text: bytes) -> upstream.CheckIn:
+    """Decodes a check-in.
+
+    Raises:
+        errors.CallError: MALFORMED_REQUEST; it names no upstream to use.
+    """
+    try:
+        found = msgspec.json.decode(text, type=_CheckIn)
+    except msgspec.MsgspecError as error:
+        raise errors.CallError(errors.Kind.MALFORMED_REQUEST,
+                               str(error)) from None
+    if found.state not in ("ready", "draining"):
+        raise errors.CallError(errors.Kind.MALFORMED_REQUEST,
+                               f"unknown state {found.state!r}")
+    return upstream.CheckIn(upstream_id, found.born, found.seq, found.service,
+                            found.slots, found.state == "draining",
+                            found.coldLeftS)
+
+
+def born(text: bytes) -> int | None:
+    """Decodes the lifetime of a deregistration; None where it names none."""
+    if not text:
+        return None
+    try:
+        return msgspec.json.decode(text, type=_Born).born
+    except msgspec.MsgspecError:
+        return None
--- a/src/apricothinge/settings.py
+++ b/src/apricothinge/settings.py
@@ -9,7 +9,10 @@
 from apricothinge import codec
 from apricothinge import errors
 
-__all__ = ["Address", "Control", "Limits", "Node", "Settings", "read"]
+__all__ = [
+    "Address", "Control", "Limits", "MeshControl", "MeshNode", "Node",
+    "Settings", "parse_address", "read"
+]
 
 _Port = Annotated[int, msgspec.Meta(ge=0, le=65535)]
 _Name = Annotated[str,
@@ -29,6 +32,17 @@
                 if ":" in self.host else f"{self.host}:{self.port}")
 
 
+def parse_address(text: str) -> Address:
+    """Reads "IP:port".
+
+    Raises:
+        ValueError: It is not that.
+    """
+    host, _, port = text.rpartition(":")
+    ipaddress.ip_address(host.strip("[]"))
+    return Address(host.strip("[]"), int(port))
+
+
 class Limits(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """Bounds of a node; seconds and bytes as the names say."""
 
@@ -82,12 +96,83 @@
     snapshot_entries: Annotated[int, msgspec.Meta(ge=10)] = 2000
 
 
+def _with_port(addresses: list[str], port: int) -> list[str]:
+    return [f"{parse_address(found).host}:{port}" for found in addresses]
+
+
+class MeshNode(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """A process beside one upstream instance of a mesh.
+
+    Attributes:
+        instance: Name of its machine.
+        failure_domain: Where it is.
+        service: The service of its machine.
+        upstream: "IP:port" of the upstream.
+        caller: "IP:port" for callers and the upstream.
+        link: "IP:port" for other nodes.
+        check_in: "IP:port" for the upstream's check-ins.
+        readiness: "IP:port" for questions whether it is ready.
+        seeds: "IP:port" of some control instances' operator ports.
+        control_link_port: Port of the links on every control instance.
+        grace_s: Seconds between the order to stop and the end.
+    """
+
+    instance: str
+    failure_domain: str
+    service: str
+    upstream: str
+    caller: str
+    link: str
+    check_in: str
+    readiness: str
+    seeds: list[str]
+    control_link_port: _Port
+    grace_s: _Positive = 5.0
+    limits: Limits = msgspec.field(default_factory=Limits)
+
+    def control_links(self) -> list[str]:
+        """Addresses of the links of control instances."""
+        return _with_port(self.seeds, self.control_link_port)
+
+
+class MeshControl(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """A control instance of a mesh, with a disk.
+
+    Attributes:
+        instance: Name of its machine.
+        failure_domain: Where it is.
+        link: "IP:port" for nodes and other control instances.
+        operator: "IP:port" for operators.
+        data: Data folder.
+        seeds: As in MeshNode.
+        control_link_port: As in MeshNode.
+        bootstrap: Whether the whole mesh starts for the first time.
+        snapshot_entries: Entries after which the log is compacted.
+    """
+
+    instance: str
+    failure_domain: str
+    link: str
+    operator: str
+    data: str
+    seeds: list[str]
+    control_link_port: _Port
+    bootstrap: bool = False
+    snapshot_entries: Annotated[int, msgspec.Meta(ge=10)] = 200
+
+    def control_links(self) -> list[str]:
+        """Addresses of the links of control instances."""
+        return _with_port(self.seeds, self.control_link_port)
+
+
 class Settings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """The whole settings file: one role and its part."""
 
-    role: Literal["node", "control"]
+    role: Literal["node", "control", "mesh_node", "mesh_control"]
     node: Node | None = None
     control: Control | None = None
+    mesh_node: MeshNode | None = None
+    mesh_control: MeshControl | None = None
 
 
 def _check_addresses(name: str, addresses: dict[str, Address]) -> None:
--- a/src/apricothinge/web/client.py
+++ b/src/apricothinge/web/client.py
@@ -15,6 +15,9 @@
 _HEADER_BYTES: Final = 65536
 IDLE_LIMIT_S: Final = 4.0
 _CONNECT_TIMEOUT_S: Final = 1.0
+# The other side counts its idle time from an earlier moment than this one.
+_KEEP_ALIVE_PART: Final = 0.6
+_FIRST_FAILURE: Final = 300
 
 
 class NotConnected(Exception):
@@ -36,14 +39,23 @@
 class Pool:
     """Keeps idle connections by address and opens new ones at need."""
 
-    __slots__ = ("_idle_by_address", "_loop", "_buffered_bytes", "_open")
+    __slots__ = ("_idle_by_address", "_loop", "_buffered_bytes", "_open",
+                 "_unframed")
 
-    def __init__(self, buffered_bytes: int) -> None:
+    def __init__(self, buffered_bytes: int, *, unframed: bool = False) -> None:
+        """Starts without connections.
+
+        Args:
+            buffered_bytes: Answers up to this size are read whole.
+            unframed: Whether an answer may end with its connection. One that
+                was reset on the way is then told from a whole one.
+        """
         self._idle_by_address: dict[settings.Address,
                                     list[connection.Connection]] = {}
         self._loop = asyncio.get_running_loop()
         self._buffered_bytes = buffered_bytes
         self._open: set[connection.Connection] = set()
+        self._unframed = unframed
 
     @property
     def open_connections(self) -> int:
@@ -56,11 +68,18 @@
         now = self._loop.time()
         while idle:
             found = idle.pop()
-            if found.usable() and now - found.idle_since < idle_limit_s:
+            limit_s = min(idle_limit_s, found.idle_limit_s)
+            if (found.usable() and not found.has_input() and
+                    now - found.idle_since < limit_s):
                 return found
             self._drop(found)
         return None
 
+    def drop(self, address: settings.Address) -> None:
+        """Closes the idle connections to an address."""
+        for found in self._idle_by_address.pop(address, []):
+            self._drop(found)
+
     def _drop(self, found: connection.Connection) -> None:
         self._open.discard(found)
         found.abort()
@@ -117,7 +136,9 @@
                        headers: messages.Headers,
                        body: messages.Body,
                        *,
-                       idle_limit_s: float = IDLE_LIMIT_S) -> messages.Answer:
+                       idle_limit_s: float = IDLE_LIMIT_S,
+                       expects: tuple[bytes, bytes] | None = None
+                      ) -> messages.Answer:
         """Sends one request and returns its answer.
 
         Cancelling the call closes the connection, which tells the other side.
@@ -129,6 +150,8 @@
             headers: Without those that concern one connection only.
             body: The content; streamed unless complete.
             idle_limit_s: Use no connection that was idle for longer, seconds.
+            expects: Name and value of a header that tells this request's
+                answer from a late one of another request.
 
         Raises:
             NotConnected: Nothing was sent.
@@ -141,7 +164,7 @@
         finished = False
         try:
             answer = await self._converse(used, address, method, target,
-                                          headers, body)
+                                          headers, body, expects)
             finished = True
             return answer
         except connection.ConnectionLost:
@@ -156,13 +179,14 @@
 
     async def _converse(self, used: connection.Connection,
                         address: settings.Address, method: str, target: str,
-                        headers: messages.Headers,
-                        body: messages.Body) -> messages.Answer:
+                        headers: messages.Headers, body: messages.Body,
+                        expects: tuple[bytes, bytes] | None) -> messages.Answer:
         framing = ((b"content-length",
                     b"%d" % body.length) if body.length is not None else
                    (b"transfer-encoding", b"chunked"))
         fields = list(headers)
-        fields.append((b"host", str(address).encode()))
+        if messages.header(fields, b"host") is None:
+            fields.append((b"host", str(address).encode()))
         if body.length != 0 or method not in ("GET", "HEAD"):
             fields.append(framing)
         request = h11.Request(method=method, target=target, headers=fields)
@@ -172,12 +196,12 @@
                 parts.append(h11.Data(data=body.prefix))
             parts.append(h11.EndOfMessage())
             used.send(*parts)
-            return await self._receive(used, address, method)
+            return await self._receive(used, address, method, expects)
         used.send(request)
         sender = asyncio.ensure_future(self._stream(used, body))
         try:
             receiver = asyncio.ensure_future(
-                self._receive(used, address, method))
+                self._receive(used, address, method, expects))
             try:
                 await asyncio.wait((sender, receiver),
                                    return_when=asyncio.FIRST_COMPLETED)
@@ -204,16 +228,38 @@
             await used.drain()
         used.send(h11.EndOfMessage())
 
-    async def _receive(self, used: connection.Connection,
-                       address: settings.Address,
-                       method: str) -> messages.Answer:
-        event = await used.next_event()
-        while isinstance(event, h11.InformationalResponse):
+    async def _head(self, used: connection.Connection, method: str,
+                    expects: tuple[bytes, bytes] | None) -> h11.Response:
+        """Reads the head of this request's answer, skipping stray ones."""
+        while True:
             event = await used.next_event()
-        if not isinstance(event, h11.Response):
-            raise connection.ConnectionLost
-        head = event
-        length = self._length_of(head, method)
+            while isinstance(event, h11.InformationalResponse):
+                event = await used.next_event()
+            if not isinstance(event, h11.Response):
+                raise connection.ConnectionLost
+            if expects is None:
+                return event
+            found = messages.header(event.headers, expects[0])
+            if found == expects[1] or (found is None and
+                                       event.status_code >= _FIRST_FAILURE):
+                return event
+            if used.h11.our_state is not h11.DONE:
+                raise Lost("an answer to another request came first")
+            self._length_of(used, event, method)
+            while not isinstance(await self._next_of_answer(used),
+                                 h11.EndOfMessage):
+                pass
+            used.skip_answer(method)
+
+    async def _receive(
+            self, used: connection.Connection, address: settings.Address,
+            method: str,
+            expects: tuple[bytes, bytes] | None) -> messages.Answer:
+        head = await self._head(used, method, expects)
+        length = self._length_of(used, head, method)
+        kept_s = _keep_alive_s(head)
+        if kept_s is not None:
+            used.idle_limit_s = kept_s * _KEEP_ALIVE_PART
         parts: list[bytes] = []
         size = 0
         while True:
@@ -238,9 +284,10 @@
             (bytes(name), bytes(value)) for name, value in head.headers
         ])
 
-    @staticmethod
-    def _length_of(head: h11.Response, method: str) -> int | None:
-        # An answer that ends with the connection looks the same whole or cut.
+    def _length_of(self, used: connection.Connection, head: h11.Response,
+                   method: str) -> int | None:
+        # An answer that ends with the connection may look whole when it was
+        # cut, unless the cut was a reset.
         found: int | None = None
         delimited = method == "HEAD" or head.status_code in (204, 304)
         for name, value in head.headers:
@@ -249,7 +296,8 @@
                 delimited = True
             elif name == b"transfer-encoding":
                 delimited = True
-        if not delimited:
+        used.unframed = not delimited
+        if not delimited and not self._unframed:
             raise Lost("an answer without a length can not be known whole",
                        answer_begun=True)
         return found
@@ -262,6 +310,8 @@
             raise Lost(str(error), answer_begun=True) from None
         if not isinstance(event, (h11.Data, h11.EndOfMessage)):
             raise Lost("connection lost in an answer", answer_begun=True)
+        if used.unframed and used.reset:
+            raise Lost("reset at the end of an answer", answer_begun=True)
         return event
 
     async def _rest(self, used: connection.Connection,
@@ -293,3 +343,15 @@
             return
         used.idle_since = self._loop.time()
         self._idle_by_address.setdefault(address, []).append(used)
+
+
+def _keep_alive_s(head: h11.Response) -> float | None:
+    """Reads how long the other side keeps an idle connection, in seconds."""
+    value = messages.header(head.headers, b"keep-alive")
+    if value is None:
+        return None
+    for part in value.split(b","):
+        name, _, number = part.strip().partition(b"=")
+        if name.lower() == b"timeout" and number.strip().isdigit():
+            return float(number)
+    return None
--- a/src/apricothinge/web/connection.py
+++ b/src/apricothinge/web/connection.py
@@ -27,12 +27,17 @@
         idle_since: Loop time in seconds when the last exchange ended.
         sent_bytes: Whether the current exchange has put bytes on the wire.
         expires_at: Loop time in seconds at which a wait is given up.
+        reset: Whether the other side broke off without an orderly end.
+        idle_limit_s: Seconds for which the other side keeps it idle.
+        spoiled: Whether it carried bytes that belong to no exchange.
+        unframed: Whether the answer in progress ends with the connection.
     """
 
     __slots__ = ("h11", "lost", "ended", "on_end", "idle_since", "transport",
                  "sent_bytes", "expires_at", "_loop", "_waiter",
                  "_drain_waiter", "_paused", "_unread", "_on_made",
-                 "_timed_out", "_starved")
+                 "_timed_out", "_starved", "reset", "idle_limit_s", "spoiled",
+                 "unframed", "_header_bytes")
 
     def __init__(self,
                  role: Any,
@@ -54,6 +59,11 @@
         self._on_made = on_made
         self._timed_out = False
         self._starved = True
+        self.reset = False
+        self.idle_limit_s = math.inf
+        self.spoiled = False
+        self.unframed = False
+        self._header_bytes = header_bytes
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keeps the transport; called by the loop."""
@@ -84,10 +94,10 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Wakes whoever waits; called by the loop."""
-        del exc
         self.lost = True
         if not self.ended:
             self.ended = True
+            self.reset = exc is not None
             self._starved = False
             self.h11.receive_data(b"")
         self._wake()
@@ -163,6 +173,27 @@
                 self._starved = True
             await self.wait_input()
 
+    def skip_answer(self, method: str) -> None:
+        """Goes on to the next answer on the wire for the same request.
+
+        The one before belongs to no request of this connection.
+        """
+        rest, ended = self.h11.trailing_data
+        self.h11 = h11.Connection(self.h11.our_role,
+                                  max_incomplete_event_size=self._header_bytes)
+        # Puts the state machine where it waits for an answer; never sent.
+        self.h11.send(
+            h11.Request(method=method,
+                        target="/",
+                        headers=[("host", "none"), ("content-length", "0")]))
+        self.h11.send(h11.EndOfMessage())
+        self.spoiled = True
+        if rest:
+            self.h11.receive_data(rest)
+        if ended:
+            self.h11.receive_data(b"")
+        self._starved = False
+
     def has_input(self) -> bool:
         """Tells whether bytes wait that belong to a later message."""
         return bool(self.h11.trailing_data[0])
@@ -199,8 +230,9 @@
 
     def usable(self) -> bool:
         """Tells whether a new exchange may start."""
-        return not (self.lost or self.ended or (self.transport is not None and
-                                                self.transport.is_closing()))
+        return not (self.lost or self.ended or self.spoiled or
+                    (self.transport is not None and
+                     self.transport.is_closing()))
 
     def close(self) -> None:
         """Closes after what is written has been sent."""
--- a/src/apricothinge/web/messages.py
+++ b/src/apricothinge/web/messages.py
@@ -1,6 +1,6 @@
 """Requests and answers as the rest of the package handles them."""
 
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
 
 from apricothinge import errors
 from apricothinge import keys
@@ -15,7 +15,7 @@
      b"proxy-authenticate", b"proxy-authorization", b"host"))
 
 
-def header(headers: Headers, name: bytes) -> bytes | None:
+def header(headers: Iterable[tuple[bytes, bytes]], name: bytes) -> bytes | None:
     """Returns the first value of a header, by its lower-case name."""
     for found, value in headers:
         if found == name:
--- a/src/apricothinge/web/server.py
+++ b/src/apricothinge/web/server.py
@@ -44,7 +44,7 @@
     error: str
     detail: str
     not_run: bool
-    retry_after_s: int
+    retry_after_s: float
 
 
 def error_answer(error: errors.CallError) -> messages.Answer:
@@ -54,7 +54,7 @@
                    error.retry_after_s))
     headers: messages.Headers = [(b"content-type", b"application/json")]
     if error.retry_after_s:
-        headers.append((b"retry-after", b"%d" % error.retry_after_s))
+        headers.append((b"retry-after", b"%g" % round(error.retry_after_s, 3)))
     answer = messages.Answer(errors.TABLE[error.kind].status, headers, body)
     answer.internal.update(error.internal)
     answer.internal["error"] = error.code
@@ -88,6 +88,19 @@
         self._open: set[connection.Connection] = set()
         self.draining = False
 
+    @property
+    def busy_connections(self) -> int:
+        """Connections with a request that is read or answered."""
+        return len(self._sessions) - len(self._idle)
+
+    def close_after_answers(self) -> None:
+        """Goes on listening; each answer closes its connection."""
+        self.draining = True
+
+    def set_limits(self, limits: settings.Limits) -> None:
+        """Replaces the bounds on what callers send."""
+        self._limits = limits
+
     @property
     def open_connections(self) -> int:
         """Connections with a running session."""
