Hand out tokens of rates from one server, ahead of demand

Also control's membership flapped: a new learner counted as silent for ever before its first answer. Ruled out: sliding windows a node (a rate of 10 over 16 nodes still refuses one in fourteen), throttling by reports alone (overshoots the bound on a jump).

--- a/src/apricothinge/control/attached.py
+++ b/src/apricothinge/control/attached.py
@@ -22,13 +22,13 @@
 class AttachedNode:
     """Takes reports in and sends what the node does not have yet."""
 
-    __slots__ = ("_group", "_machine", "_view", "_history", "_codec", "_wake", "_echo",
-                 "_revision", "_share_revision", "_view_version", "_row",
-                 "_ended", "_loop", "_pushed_at")
+    __slots__ = ("_group", "_machine", "_view", "_history", "_codec", "_wake",
+                 "_echo", "_revision", "_share_revision", "_view_version",
+                 "_row", "_ended", "_loop", "_pushed_at")
 
     def __init__(self, members: group.Group, state: machine.ControlMachine,
-                 fleet: view.View,
-                 revisions: history.History, codec: wire.Codec) -> None:
+                 fleet: view.View, revisions: history.History,
+                 codec: wire.Codec) -> None:
         self._loop = asyncio.get_running_loop()
         self._group = members
         self._machine = state
--- a/src/apricothinge/control/group.py
+++ b/src/apricothinge/control/group.py
@@ -329,7 +329,7 @@
 
 
 def bootstrap(control: settings.Control,
-               address: settings.Address) -> raft.Members:
+              address: settings.Address) -> raft.Members:
     """The members of a group that starts for the first time."""
     if control.join:
         return {}
--- a/src/apricothinge/control/process.py
+++ b/src/apricothinge/control/process.py
@@ -240,8 +240,8 @@
             context: Any) -> AsyncIterator[control_pb2.Sealed]:
         """Serves a node's stream."""
         del context
-        node = attached.AttachedNode(self.group, self._machine, self.view, self._history,
-                                     self._codec)
+        node = attached.AttachedNode(self.group, self._machine, self.view,
+                                     self._history, self._codec)
         self._nodes.add(node)
         try:
             async for update in node.run(request_iterator):
--- a/src/apricothinge/control/raft.py
+++ b/src/apricothinge/control/raft.py
@@ -80,12 +80,14 @@
         sent_at: The leader's clock when it last sent anything.
         echo: The member's clock as last heard.
         snapshot_at: The leader's clock when it last sent a snapshot.
+        known_at: The leader's clock when it first knew the member.
     """
 
     __slots__ = ("next_index", "match", "acked_at", "sent_at", "echo",
-                 "snapshot_at")
+                 "snapshot_at", "known_at")
 
-    def __init__(self, next_index: int) -> None:
+    def __init__(self, next_index: int, now: float) -> None:
+        self.known_at = now
         self.next_index = next_index
         self.match = 0
         self.acked_at = -math.inf
@@ -113,9 +115,16 @@
         snapshot_index: Last entry of the latest snapshot.
     """
 
-    def __init__(self, now: float, instance: str, disk: storage.Storage,
-                 machine: Machine, bootstrap: Members, source: random.Random,
-                 timing: Timing, *, managed: bool = False) -> None:
+    def __init__(self,
+                 now: float,
+                 instance: str,
+                 disk: storage.Storage,
+                 machine: Machine,
+                 bootstrap: Members,
+                 source: random.Random,
+                 timing: Timing,
+                 *,
+                 managed: bool = False) -> None:
         """Reads the state back.
 
         Args:
@@ -315,7 +324,7 @@
         self.leader = self.instance
         self._own_term_committed = False
         self._progress_by_member = {}
-        self._sync_progress()
+        self._sync_progress(now)
         for progress in self._progress_by_member.values():
             # The clock of check-quorum starts with the term.
             progress.acked_at = now
@@ -323,10 +332,11 @@
         self._queue(messages.EntryKind.NOOP, b"")
         self.flush(now)
 
-    def _sync_progress(self) -> None:
+    def _sync_progress(self, now: float) -> None:
         for name in self.members:
             if name != self.instance and name not in self._progress_by_member:
-                self._progress_by_member[name] = _Progress(self.last_index + 1)
+                self._progress_by_member[name] = _Progress(
+                    self.last_index + 1, now)
         for name in list(self._progress_by_member):
             if name not in self.members:
                 del self._progress_by_member[name]
@@ -451,9 +461,9 @@
                 return
 
     def silence_s(self, now: float) -> dict[str, float]:
-        """Seconds since each member, by name, answered the leader."""
+        """Seconds since each member, by name, answered or was added."""
         found = {
-            name: now - progress.acked_at
+            name: now - max(progress.acked_at, progress.known_at)
             for name, progress in self._progress_by_member.items()
         }
         found[self.instance] = 0.0
@@ -485,7 +495,7 @@
         self._log += entries
         if any(entry.kind is messages.EntryKind.MEMBERS for entry in entries):
             self._find_members()
-            self._sync_progress()
+            self._sync_progress(now)
         self._advance_commit(now)
         for name in self._progress_by_member:
             self._send_append(now, name)
--- a/src/apricothinge/daemon.py
+++ b/src/apricothinge/daemon.py
@@ -16,9 +16,7 @@
 from apricothinge.control import process as control_process
 from apricothinge.node import process as node_process
 
-__all__ = [
-    "EXIT_SETTINGS", "EXIT_STORAGE", "app", "main", "tune_gc"
-]
+__all__ = ["EXIT_SETTINGS", "EXIT_STORAGE", "app", "main", "tune_gc"]
 
 EXIT_SETTINGS = 2
 EXIT_STORAGE = 3
--- a/src/apricothinge/link/connection.py
+++ b/src/apricothinge/link/connection.py
@@ -169,8 +169,8 @@
         self._flushing = False
         parts, self._outbox = self._outbox, []
         if self._transport is not None and not self.closed and parts:
-            self._transport.write(
-                b"".join(parts) if len(parts) > 1 else parts[0])
+            self._transport.write(b"".join(parts) if len(parts) >
+                                  1 else parts[0])
 
     def suspect(self, now: float) -> bool:
         """Tells whether a probe has been unanswered for some time."""
--- a/src/apricothinge/link/frames.py
+++ b/src/apricothinge/link/frames.py
@@ -8,11 +8,10 @@
 from apricothinge.control import raft_messages
 
 __all__ = [
-    "Abort", "AnswerHead", "Attach", "Busy", "Call", "Cancel",
-    "Credit", "Data", "Frame", "Hello", "Join", "Joined", "Load", "Ping",
-    "Pong", "Refusal", "Report", "Row", "Status", "Step", "StepReply",
-    "TargetRow",
-    "Update", "decode", "encode"
+    "Abort", "AnswerHead", "Ask", "Attach", "Busy", "Call", "Cancel", "Credit",
+    "Data", "Frame", "Hello", "Join", "Joined", "Load", "Ping", "Pong",
+    "Refusal", "Report", "Row", "Status", "Step", "StepReply", "TargetRow",
+    "Tokens", "Update", "decode", "encode"
 ]
 
 _LENGTH: Final = struct.Struct(">I")
@@ -222,10 +221,16 @@
     Attributes:
         row: The node.
         revision: The desired state that it has, -1 for none.
+        stock: Tokens that it holds, by organisation.
+        recent: Tokens that it spent within the last window.
+        peers: Names of the nodes that it knows.
     """
 
     row: Row
     revision: int
+    stock: dict[str, int]
+    recent: dict[str, int]
+    peers: list[str]
 
 
 class Busy(_Message, tag=13):
@@ -247,18 +252,16 @@
         sequence: Number of the report.
         row: The node, or None where nothing has changed.
         revision: The desired state in force.
-        grant_sequence: Latest grant that it has applied.
-        held: Part of each organisation's rate that it may use.
-        demand: Requests per second by organisation, or None if unchanged.
+        tokens: By organisation the tokens spent and returned since it
+            attached, and its demand a second; what has not changed is left
+            out.
         crashes: Fingerprints with the crash that they were in flight in.
     """
 
     sequence: int
     row: Row | None
     revision: int
-    grant_sequence: int
-    held: dict[str, float] | None
-    demand: dict[str, float] | None
+    tokens: dict[str, tuple[int, int, float]]
     crashes: list[tuple[str, str]]
 
 
@@ -272,10 +275,8 @@
         rows: Nodes that have changed.
         gone: Names of nodes that have left.
         complete: Whether `rows` are all nodes.
-        nodes: How many nodes share the rates.
+        nodes: How many nodes there are.
         members: "IP:port" of every member of control.
-        grant_sequence: Number of this grant, 0 for none.
-        grants: Part of each organisation's rate, or None if unchanged.
         crashes: As in Report, from all nodes.
     """
 
@@ -287,11 +288,21 @@
     complete: bool
     nodes: int
     members: list[str]
-    grant_sequence: int
-    grants: dict[str, float] | None
     crashes: list[tuple[str, str]]
 
 
+class Ask(_Message, tag=20):
+    """A node has run out of an organisation's tokens."""
+
+    name: str
+
+
+class Tokens(_Message, tag=21):
+    """Tokens for a node by organisation; 0 where an Ask is refused."""
+
+    by_name: dict[str, int]
+
+
 # Control.
 
 
@@ -335,7 +346,7 @@
 
 Frame = Union[Hello, Ping, Pong, Call, Data, Credit, Cancel, AnswerHead,
               Refusal, Abort, Status, Attach, Busy, Report, Update, Step,
-              StepReply, Join, Joined]
+              StepReply, Join, Joined, Ask, Tokens]
 
 _ENCODER: Final = msgspec.msgpack.Encoder()
 _DECODER: Final[Any] = msgspec.msgpack.Decoder(Frame)
--- a/src/apricothinge/mesh/attachment.py
+++ b/src/apricothinge/mesh/attachment.py
@@ -9,9 +9,9 @@
 from apricothinge.link import connection
 from apricothinge.link import frames
 from apricothinge.mesh import documents
-from apricothinge.mesh import holdings
 from apricothinge.mesh import peers
 from apricothinge.mesh import state
+from apricothinge.mesh import tokens
 from apricothinge.mesh import upstream
 
 __all__ = ["Attachment"]
@@ -21,6 +21,8 @@
 _RETRY_S: Final = 0.1
 _FIRST_UPDATE_S: Final = 1.0
 _SILENCE_S: Final = 2.0
+# Longer than a round trip between failure domains and the leader's turn.
+_ASK_S: Final = 0.04
 
 
 class Attachment(connection.Receiver):
@@ -32,8 +34,8 @@
 
     __slots__ = ("attached_to", "_state", "_peers", "_row", "_known",
                  "_sweeper", "_loop", "_task", "_link", "_updated_at",
-                 "_sequence", "_grant_sequence", "_told_row", "_told_demand",
-                 "_told_held", "_leader_hint", "_sent_at_by_sequence")
+                 "_sequence", "_told_row", "_told_tokens", "_leader_hint",
+                 "_sent_at_by_sequence", "_ask_by_name")
 
     def __init__(self, node_state: state.NodeState, table: peers.Peers,
                  row: "RowSource", seeds: list[str],
@@ -48,14 +50,18 @@
         self._link: connection.Link | None = None
         self._updated_at = 0.0
         self._sequence = 0
-        self._grant_sequence = 0
         self._told_row: frames.Row | None = None
-        self._told_demand: dict[str, float] | None = None
-        self._told_held: dict[str, float] | None = None
+        self._told_tokens: dict[str, tuple[int, int, float]] = {}
+        self._ask_by_name: dict[str, asyncio.Future[None]] = {}
         self._leader_hint = ""
         self._sent_at_by_sequence: dict[int, float] = {}
         self.attached_to = ""
 
+    @property
+    def attached(self) -> bool:
+        """Whether a leader answers."""
+        return bool(self.attached_to)
+
     def start(self) -> None:
         """Begins to attach."""
         self._task = asyncio.ensure_future(self._run())
@@ -102,15 +108,18 @@
         self._link = link
         self._updated_at = 0.0
         self._told_row = None
-        self._told_demand = None
-        self._told_held = None
-        self._grant_sequence = 0
+        self._told_tokens = {}
         self._sent_at_by_sequence.clear()
         opened_at = self._loop.time()
         try:
             link.send(self._peers.hello)
             self._told_row = self._row.row()
-            link.send(frames.Attach(self._told_row, self._state.revision))
+            stock = self._state.stock
+            stock.attach()
+            link.send(
+                frames.Attach(self._told_row, self._state.revision,
+                              stock.stock(), stock.recent(opened_at),
+                              list(self._peers.by_instance)))
             while not link.closed:
                 self._state.changed.clear()
                 link.send(self._report())
@@ -119,8 +128,9 @@
                         await self._state.changed.wait()
                 await asyncio.sleep(_SMALLEST_REPORT_S)
                 now = self._loop.time()
-                limit = (self._updated_at + _SILENCE_S if self._updated_at else
-                         opened_at + _FIRST_UPDATE_S)
+                limit = (self._updated_at +
+                         _SILENCE_S if self._updated_at else opened_at +
+                         _FIRST_UPDATE_S)
                 if now > limit:
                     break
         finally:
@@ -129,20 +139,38 @@
 
     def _report(self) -> frames.Report:
         self._sequence += 1
-        self._sent_at_by_sequence[self._sequence] = holdings.boot_s()
+        self._sent_at_by_sequence[self._sequence] = tokens.boot_s()
         row = self._row.row()
         told_row = None if row == self._told_row else row
         self._told_row = row
-        held = self._state.holdings.held()
-        told_held = None if held == self._told_held else held
-        self._told_held = held
-        demand = self._state.holdings.demand()
-        told_demand = None if demand == self._told_demand else demand
-        self._told_demand = demand
+        counts = self._state.stock.counts()
+        changed = {
+            name: found
+            for name, found in counts.items()
+            if found != self._told_tokens.get(name, (0, 0, 0.0))
+        }
+        self._told_tokens = counts
         crashes = self._state.crashes
         told, crashes.outbox = crashes.outbox, []
         return frames.Report(self._sequence, told_row, self._state.revision,
-                             self._grant_sequence, told_held, told_demand, told)
+                             changed, told)
+
+    async def ask(self, name: str) -> None:
+        """Asks for an organisation's tokens; returns after the answer.
+
+        It also returns where none comes within a short time.
+        """
+        link = self._link
+        if link is None or link.closed or not self.attached_to:
+            return
+        asked = self._ask_by_name.get(name)
+        if asked is None:
+            asked = self._loop.create_future()
+            self._ask_by_name[name] = asked
+            link.send(frames.Ask(name))
+        await asyncio.wait((asked,), timeout=_ASK_S)
+        if not asked.done() and self._ask_by_name.get(name) is asked:
+            del self._ask_by_name[name]
 
     # Receiving.
 
@@ -161,6 +189,13 @@
             self._leader_hint = message.leader
             link.abort()
             return
+        if isinstance(message, frames.Tokens):
+            self._state.stock.add(message.by_name, self._loop.time())
+            for name in message.by_name:
+                asked = self._ask_by_name.pop(name, None)
+                if asked is not None and not asked.done():
+                    asked.set_result(None)
+            return
         if not isinstance(message, frames.Update):
             return
         if not self._updated_at:
@@ -175,19 +210,16 @@
                 documents.Compiled(update.revision,
                                    documents.unpack(update.document)))
             self._state.changed.set()
-        table = self._state.holdings
-        table.set_nodes(update.nodes)
+        stock = self._state.stock
+        stock.nodes = update.nodes
         sent_at = self._sent_at_by_sequence.get(update.echo)
         if sent_at is not None:
-            table.renew(sent_at)
-            for old in [n for n in self._sent_at_by_sequence if n < update.echo]:
+            stock.renew(sent_at)
+            for old in [
+                    n for n in self._sent_at_by_sequence if n < update.echo
+            ]:
                 del self._sent_at_by_sequence[old]
-        if update.grants is not None:
-            table.grant(update.grants)
-            self._grant_sequence = update.grant_sequence
-            self._state.changed.set()
         now = self._loop.time()
-        table.tick(now, self._state.compiled)
         for row in update.rows:
             self._peers.listed(row)
         for instance in update.gone:
--- a/src/apricothinge/mesh/control.py
+++ b/src/apricothinge/mesh/control.py
@@ -83,8 +83,7 @@
         link: Bound address of the links.
     """
 
-    def __init__(self, control: settings.MeshControl,
-                 incarnation: int) -> None:
+    def __init__(self, control: settings.MeshControl, incarnation: int) -> None:
         self._loop = asyncio.get_running_loop()
         self._settings = control
         self._sweeper = connection.Sweeper()
@@ -113,7 +112,7 @@
         self._led_at = self._loop.time()
         self._change: asyncio.Task[None] | None = None
         self._joining: asyncio.Task[None] | None = None
-        self._organisations_revision = -1
+        self._document_revision = -1
 
     # Start.
 
@@ -214,6 +213,9 @@
         elif isinstance(message, frames.Report):
             if self._hub is not None:
                 self._hub.report(link, message)
+        elif isinstance(message, frames.Ask):
+            if self._hub is not None:
+                self._hub.ask(link, message)
         elif isinstance(message, frames.Attach):
             if self._hub is None or not self._confirmed():
                 link.send(self._busy())
@@ -312,7 +314,7 @@
         while True:
             await self.group.applied.wait()
             if self._hub is not None and self._confirmed():
-                self._sync_organisations()
+                self._sync_document()
                 self._hub.changed()
 
     async def _tick_forever(self) -> None:
@@ -331,7 +333,7 @@
         if self.group.leads or self.group.raft.leader is not None:
             self._led_at = now
         if self._hub is not None and self._confirmed():
-            self._sync_organisations()
+            self._sync_document()
             self._hub.tick()
         if self._ticks % _MEMBERSHIP_TICKS == 0:
             self._manage_members(now)
@@ -345,11 +347,9 @@
         core = self.group.raft
         if self.group.leads and self._hub_term != core.term:
             self._end_hub()
-            self._hub = hub.Hub(self.machine,
-                                self._addresses,
-                                fresh=self.machine.revision == 0)
+            self._hub = hub.Hub(self.machine, self._addresses)
             self._hub_term = core.term
-            self._organisations_revision = -1
+            self._document_revision = -1
             log.event("control:leads", term=core.term)
         elif not self.group.leads and self._hub is not None:
             log.event("control:follows", term=core.term, leader=self.leader())
@@ -361,19 +361,14 @@
         self._hub = None
         self._hub_term = -1
 
-    def _sync_organisations(self) -> None:
+    def _sync_document(self) -> None:
         if (self._hub is None or
-                self._organisations_revision == self.machine.revision):
+                self._document_revision == self.machine.revision):
             return
-        self._organisations_revision = self.machine.revision
+        self._document_revision = self.machine.revision
         if not self.machine.document:
             return
-        document = documents.unpack(self.machine.document)
-        self._hub.set_organisations([
-            row.name
-            for row in document.organisations or []
-            if row.rate_per_s > 0
-        ])
+        self._hub.set_document(documents.unpack(self.machine.document))
 
     # Operators.
 
--- a/src/apricothinge/mesh/entry.py
+++ b/src/apricothinge/mesh/entry.py
@@ -8,6 +8,7 @@
 from apricothinge import errors
 from apricothinge import log
 from apricothinge.link import frames
+from apricothinge.mesh import attachment
 from apricothinge.mesh import dispatch
 from apricothinge.mesh import documents
 from apricothinge.mesh import state
@@ -27,20 +28,25 @@
 # than the wait, so that they do not arrive together.
 _SPREAD: Final = 1.0
 _SMALLEST_RETRY_S: Final = 0.1
+# Tokens come back as spending leaves the window, evenly over its span.
+_RATE_RETRY_S: Final = 0.5
 _OUTSIDE: Final = re.compile(r"(^|/)\.{1,2}(/|$)|%2f|%5c|%2e", re.I)
 
 
 class EntryHandler(server.Handler):
     """Turns requests from this machine into calls."""
 
-    __slots__ = ("_state", "_dispatcher", "_loop", "_random", "_reserved")
+    __slots__ = ("_state", "_dispatcher", "_attachment", "_loop", "_random",
+                 "_reserved")
 
     def __init__(self, node_state: state.NodeState,
                  dispatcher: dispatch.Dispatcher,
+                 attached: attachment.Attachment,
                  source: random.Random) -> None:
         self._loop = asyncio.get_running_loop()
         self._state = node_state
         self._dispatcher = dispatcher
+        self._attachment = attached
         self._random = source
         self._reserved = node_state.names.reserved()
 
@@ -83,11 +89,7 @@
         if body.length is not None and body.length > limit:
             raise errors.CallError(errors.Kind.CONTENT_TOO_LARGE)
         if organisation is not None and not route.anonymous:
-            wait_s = self._state.holdings.take(self._loop.time(), organisation)
-            if wait_s:
-                raise errors.CallError(errors.Kind.RATE_EXCEEDED,
-                                       organisation.name,
-                                       retry_after_s=wait_s)
+            await self._charge(organisation)
         try:
             await body.fill(_REPLAY_BYTES)
             compiled = self._state.compiled or compiled
@@ -102,9 +104,24 @@
             return await self._run(route, work)
         except errors.CallError as error:
             if error.not_run and organisation is not None:
-                self._state.holdings.give_back(organisation)
+                self._state.stock.give_back(organisation)
             raise
 
+    async def _charge(self, organisation: documents.Organisation) -> None:
+        """Spends a token of the organisation's rate."""
+        now = self._loop.time()
+        stock = self._state.stock
+        stock.arrived(now, organisation)
+        if stock.take(now, organisation, self._attachment.attached):
+            return
+        if self._attachment.attached:
+            await self._attachment.ask(organisation.name)
+            if stock.take(self._loop.time(), organisation, True):
+                return
+        raise errors.CallError(errors.Kind.RATE_EXCEEDED,
+                               organisation.name,
+                               retry_after_s=_RATE_RETRY_S)
+
     async def _run(self, route: documents.Route,
                    work: upstream.Work) -> messages.Answer:
         attempts = route.attempts
@@ -175,8 +192,8 @@
         deadline = self._deadline(route, request)
         call = frames.Call(
             0, request.method, request.target, headers, request_id,
-            compiled.service_of(route), rank,
-            route.kind is documents.RouteKind.IDEMPOTENT, False, 0.0,
+            compiled.service_of(route), rank, route.kind
+            is documents.RouteKind.IDEMPOTENT, False, 0.0,
             route.latency_objective_s, route.name,
             crashes.fingerprint(name, request.method, request.target,
                                 body.prefix), b"", body.length, body.complete)
--- a/src/apricothinge/mesh/hub.py
+++ b/src/apricothinge/mesh/hub.py
@@ -7,13 +7,14 @@
 from apricothinge import log
 from apricothinge.link import connection
 from apricothinge.link import frames
-from apricothinge.mesh import allocator
-from apricothinge.mesh import holdings
+from apricothinge.mesh import documents
 from apricothinge.mesh import machine
+from apricothinge.mesh import token_server
+from apricothinge.mesh import tokens
 
 __all__ = ["Hub"]
 
-_ALLOCATE_S: Final = 0.5
+_GRANT_S: Final = 0.1
 # A node whose link is lost dials again within a second.
 _LISTED_FOR_S: Final = 3.0
 # All live nodes have attached to a new leader by then.
@@ -48,13 +49,12 @@
         version: Of the table of nodes.
         revision: Of the desired state.
         echo: Its latest report.
-        grant: Number of the latest grant that was sent.
         crashes: How many crash reports it was sent.
         complete: Whether it was sent a table known to be complete.
         due: Whether there is something to send.
     """
 
-    __slots__ = ("instance", "version", "revision", "echo", "grant", "crashes",
+    __slots__ = ("instance", "version", "revision", "echo", "crashes",
                  "complete", "due")
 
     def __init__(self, instance: str, revision: int, crashes: int) -> None:
@@ -62,7 +62,6 @@
         self.version = 0
         self.revision = revision
         self.echo = 0
-        self.grant = 0
         self.crashes = crashes
         self.complete = False
         self.due = True
@@ -75,11 +74,11 @@
     """
 
     __slots__ = ("_loop", "_machine", "_members", "_listed_by_instance",
-                 "_attached_by_link", "_version", "_started_at", "_allocator",
-                 "_crashes", "_known_crashes", "_allocated_at", "_organisations")
+                 "_attached_by_link", "_version", "_started_at", "_tokens",
+                 "_crashes", "_known_crashes", "_granted_at")
 
     def __init__(self, state: machine.MeshMachine,
-                 members: Callable[[], list[str]], *, fresh: bool) -> None:
+                 members: Callable[[], list[str]]) -> None:
         self._loop = asyncio.get_running_loop()
         self._machine = state
         self._members = members
@@ -87,15 +86,18 @@
         self._attached_by_link: dict[connection.Link, _Attached] = {}
         self._version = 0
         self._started_at = self._loop.time()
-        self._allocator = allocator.Allocator(holdings.boot_s(), fresh=fresh)
+        self._tokens = token_server.TokenServer(tokens.boot_s())
         self._crashes: list[tuple[str, str]] = []
         self._known_crashes: set[tuple[str, str]] = set()
-        self._allocated_at = 0.0
-        self._organisations: list[str] = []
+        self._granted_at = 0.0
 
-    def set_organisations(self, names: list[str]) -> None:
+    def set_document(self, document: documents.Document) -> None:
         """Takes in whose rates are divided."""
-        self._organisations = names
+        self._tokens.set_windows({
+            row.name: tokens.window_tokens(row)
+            for row in document.organisations or []
+            if row.rate_per_s > 0
+        })
 
     def rows(self) -> list[frames.Row]:
         """Nodes that are listed."""
@@ -113,8 +115,8 @@
                 del self._attached_by_link[other]
                 other.abort()
         self._attached_by_link[link] = _Attached(instance, message.revision, 0)
-        self._allocator.attached(holdings.boot_s(), instance,
-                                 message.row.incarnation)
+        self._tokens.attach(tokens.boot_s(), instance, message.row.incarnation,
+                            message.stock, message.recent, message.peers)
         self._put(message.row)
         log.event("hub:attached",
                   node=instance,
@@ -149,21 +151,28 @@
         attached.revision = max(attached.revision, message.revision)
         if message.row is not None:
             self._put(message.row)
-        self._allocator.report(holdings.boot_s(), attached.instance,
-                               message.grant_sequence, message.held,
-                               message.demand)
+        self._tokens.report(tokens.boot_s(), attached.instance, message.tokens)
         for crash in message.crashes:
             if crash not in self._known_crashes:
                 self._known_crashes.add(crash)
                 self._crashes.append(crash)
                 self._all_due()
 
+    def ask(self, link: connection.Link, message: frames.Ask) -> None:
+        """Takes in that a node has run out of an organisation's tokens."""
+        attached = self._attached_by_link.get(link)
+        if attached is None:
+            return
+        count = self._tokens.ask(tokens.boot_s(), attached.instance,
+                                 message.name)
+        link.send(frames.Tokens({message.name: count}))
+
     def lost(self, link: connection.Link) -> None:
         """Takes in that a node's link has ended."""
         attached = self._attached_by_link.pop(link, None)
         if attached is None:
             return
-        self._allocator.detached(attached.instance)
+        self._tokens.detached(attached.instance)
         listed = self._listed_by_instance.get(attached.instance)
         if listed is not None:
             listed.lost_at = self._loop.time()
@@ -184,27 +193,33 @@
                 listed.version = self._version
                 self._all_due()
                 log.event("hub:node_gone", node=listed.row.instance)
-        if now - self._allocated_at >= _ALLOCATE_S:
-            self._allocated_at = now
-            boot_s = holdings.boot_s()
-            self._allocator.expire(boot_s)
-            self._allocator.step(boot_s, self._organisations)
+        if now - self._granted_at >= _GRANT_S:
+            self._granted_at = now
+            self._grant()
         self.send()
 
+    def _grant(self) -> None:
+        boot_s = tokens.boot_s()
+        self._tokens.expire(boot_s)
+        granted = self._tokens.grant(boot_s)
+        if not granted:
+            return
+        for link, attached in self._attached_by_link.items():
+            found = granted.get(attached.instance)
+            if found is not None:
+                link.send(frames.Tokens(found))
+
     def send(self) -> None:
         """Sends updates to the nodes that lack something."""
         settled = self._loop.time() - self._started_at >= _SETTLED_S
         for link, attached in list(self._attached_by_link.items()):
-            grant = self._allocator.grant(attached.instance)
             if (not attached.due and
-                (grant is None or grant[0] == attached.grant) and
                     attached.revision >= self._machine.revision):
                 continue
             attached.due = False
-            link.send(self._update(attached, settled, grant))
+            link.send(self._update(attached, settled))
 
-    def _update(self, attached: _Attached, settled: bool,
-                grant: tuple[int, dict[str, float]] | None) -> frames.Update:
+    def _update(self, attached: _Attached, settled: bool) -> frames.Update:
         document = None
         if attached.revision < self._machine.revision:
             document = self._machine.document
@@ -222,20 +237,14 @@
             else:
                 rows.append(listed.row)
         attached.version = self._version
-        grants = None
-        number = 0
-        if grant is not None and grant[0] != attached.grant:
-            number, grants = grant
-            attached.grant = number
         crashes = self._crashes[attached.crashes:][-_LARGEST_CRASHES:]
         attached.crashes = len(self._crashes)
         return frames.Update(attached.echo, self._machine.revision, document,
-                             rows, gone, complete, self._allocator.nodes,
-                             self._members(), number, grants, crashes)
+                             rows, gone, complete, len(self.rows()),
+                             self._members(), crashes)
 
     def stop(self, busy: frames.Busy) -> None:
         """Sends all nodes away, since this process leads no more."""
         for link in list(self._attached_by_link):
             link.send(busy)
         self._attached_by_link.clear()
-
--- a/src/apricothinge/mesh/node.py
+++ b/src/apricothinge/mesh/node.py
@@ -103,19 +103,19 @@
                                                header_names)
         self.callers = streams.Callers(self.upstream.run, self.upstream.load)
         self._limits = node.limits
-        self._caller_server = server.Server(entry.EntryHandler(
-            self.state, self._dispatcher, source),
-                                            node.limits,
-                                            hang_up_on_half_close=True)
         self._link_server: asyncio.Server | None = None
         self.caller = settings.parse_address(node.caller)
         self.link = settings.parse_address(node.link)
         self._row = attachment.RowSource(node.instance, incarnation, node.link,
                                          node.failure_domain, self.state,
                                          self.upstream)
-        self._attachment = attachment.Attachment(self.state, self._peers,
-                                                 self._row, node.control_links(),
+        self._attachment = attachment.Attachment(self.state,
+                                                 self._peers, self._row,
+                                                 node.control_links(),
                                                  self._sweeper)
+        self._caller_server = server.Server(
+            entry.EntryHandler(self.state, self._dispatcher, self._attachment,
+                               source), node.limits)
         self._ticker: asyncio.Task[None] | None = None
         self._ticks = 0
         self._told_load: frames.Load | None = None
@@ -192,7 +192,8 @@
         self._ticks += 1
         self.upstream.advance()
         if self._ticks % _SLOW_TICKS == 0:
-            self.state.holdings.tick(now, self.state.compiled)
+            self.state.stock.tick(now, self.state.compiled,
+                                  self._attachment.attached)
             self._peers.tick(now)
             self._router.tick(now)
             self._take_limits()
--- a/src/apricothinge/mesh/peers.py
+++ b/src/apricothinge/mesh/peers.py
@@ -129,9 +129,8 @@
         known.listed = True
         older = row.incarnation < known.row.incarnation
         # What a node has said on its link is newer than what control heard.
-        if not older and (known.calls.link is None or
-                          row.incarnation > known.row.incarnation or
-                          known.row.target is None):
+        if not older and (known.calls.link is None or row.incarnation
+                          > known.row.incarnation or known.row.target is None):
             known.row = row
         self.refresh(known)
 
@@ -182,8 +181,8 @@
                 continue
             known = self._router.by_instance.get(peer.row.instance)
             link = peer.calls.link
-            if known is not None and link is not None and (
-                    known.draining != (not self._usable(peer, now))):
+            if known is not None and link is not None and (known.draining != (
+                    not self._usable(peer, now))):
                 self.refresh(peer)
 
     @staticmethod
--- a/src/apricothinge/mesh/state.py
+++ b/src/apricothinge/mesh/state.py
@@ -5,8 +5,8 @@
 
 from apricothinge import log
 from apricothinge.mesh import documents
-from apricothinge.mesh import holdings
 from apricothinge.mesh import names
+from apricothinge.mesh import tokens
 from apricothinge.overload import crashes
 
 __all__ = ["NodeState"]
@@ -20,7 +20,7 @@
     Attributes:
         names: Names of headers.
         compiled: The desired state in force, or None.
-        holdings: Its parts of the organisations' rates.
+        stock: Tokens of the organisations' rates.
         crashes: Requests that crash upstreams.
         running: Requests from this machine in progress.
         leaving: Whether it is being stopped.
@@ -28,14 +28,13 @@
         outcomes: Requests from this machine by outcome.
     """
 
-    __slots__ = ("names", "compiled", "holdings", "crashes", "running",
-                 "leaving", "changed", "outcomes", "_service", "_announced")
+    __slots__ = ("names", "compiled", "stock", "crashes", "running", "leaving",
+                 "changed", "outcomes", "_service", "_announced")
 
     def __init__(self, header_names: names.HeaderNames, service: str) -> None:
         self.names = header_names
         self.compiled: documents.Compiled | None = None
-        self.holdings = holdings.Holdings(
-            asyncio.get_running_loop().time())
+        self.stock = tokens.Stock(asyncio.get_running_loop().time())
         self.crashes = crashes.CrashTable(_CRASHES)
         self.running = 0
         self.leaving = False
--- a/src/apricothinge/mesh/streams.py
+++ b/src/apricothinge/mesh/streams.py
@@ -137,8 +137,8 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop,
                  taken: Callable[[int], None]) -> None:
-        self.head: asyncio.Future[frames.AnswerHead |
-                                  frames.Refusal] = (loop.create_future())
+        self.head: asyncio.Future[frames.AnswerHead | frames.Refusal]
+        self.head = loop.create_future()
         self.inflow = _Inflow(taken)
         self.outflow = _Outflow()
 
@@ -243,8 +243,6 @@
         except client.Lost:
             # An answer may have come early; if not, the head tells.
             return
-        except asyncio.CancelledError:
-            raise
         except Exception as error:  # pylint: disable=broad-exception-caught
             # The caller's content ended early.
             link.send(frames.Abort(stream))
@@ -301,9 +299,9 @@
     return frames.Call(stream, call.method, call.target, call.headers,
                        call.request_id, call.service, call.rank,
                        call.idempotent, call.repeated,
-                       round(work.deadline - now, 4), call.objective_s,
-                       call.route, call.fingerprint, work.body.prefix,
-                       work.body.length, work.body.complete)
+                       round(work.deadline - now,
+                             4), call.objective_s, call.route, call.fingerprint,
+                       work.body.prefix, work.body.length, work.body.complete)
 
 
 def _error(refusal: frames.Refusal) -> errors.CallError:
@@ -393,8 +391,7 @@
     def _begin(self, link: connection.Link, by_stream: dict[int, _Serving],
                call: frames.Call) -> None:
         stream = call.stream
-        serving = _Serving(
-            lambda size: link.send(frames.Credit(stream, size)))
+        serving = _Serving(lambda size: link.send(frames.Credit(stream, size)))
         by_stream[stream] = serving
         body = messages.Body(call.length,
                              None if call.complete else serving.inflow.read,
--- a/src/apricothinge/mesh/upstream.py
+++ b/src/apricothinge/mesh/upstream.py
@@ -127,8 +127,8 @@
     def check_in(self, told: CheckIn) -> None:
         """Takes in a check-in; a late one of a former lifetime is ignored."""
         known = self._known
-        if told.upstream_id in self._gone_ids and (
-                known is None or told.born <= known.born):
+        if told.upstream_id in self._gone_ids and (known is None or
+                                                   told.born <= known.born):
             return
         if known is not None:
             if told.born < known.born:
@@ -237,7 +237,8 @@
         rank = work.call.rank
         ticket = waiting.Ticket(
             rank, now +
-            waiting.Queue.patience_s(rank < 0, left_s, work.call.objective_s), now)
+            waiting.Queue.patience_s(rank < 0, left_s, work.call.objective_s),
+            now)
         try:
             verdict = self._queue.offer(now, ticket)
         except waiting.Refused as refused:
--- a/src/apricothinge/platform/process.py
+++ b/src/apricothinge/platform/process.py
@@ -83,8 +83,8 @@
     running = node.MeshNode(found, wire.HEADERS)
     await running.start()
     servers = [
-        await _serve(handlers.CheckInHandler(running), found.check_in),
-        await _serve(handlers.ReadinessHandler(running), found.readiness)
+        await _serve(handlers.CheckInHandler(running), found.check_in), await
+        _serve(handlers.ReadinessHandler(running), found.readiness)
     ]
     daemon.tune_gc()
 
--- a/src/apricothinge/platform/wire.py
+++ b/src/apricothinge/platform/wire.py
@@ -178,8 +178,7 @@
     return int(found[1])
 
 
-def _route(place: int, row: _Route,
-           service_names: set[str]) -> documents.Route:
+def _route(place: int, row: _Route, service_names: set[str]) -> documents.Route:
     field = f"routes[{place}] {row.name}"
     try:
         kind = documents.RouteKind(row.route_type)
@@ -235,14 +234,12 @@
                                        str(error)) from None
     service_names = {row.name for row in services}
     document = documents.Document(
-        _version(state.version, "version"), [
-            _route(place, row, service_names)
-            for place, row in enumerate(routes)
-        ], [documents.Service(row.name, row.max_conns) for row in services],
+        _version(state.version, "version"),
+        [_route(place, row, service_names) for place, row in enumerate(routes)],
+        [documents.Service(row.name, row.max_conns) for row in services],
         None if tenants is None else [
             documents.Organisation(row.name, row.api_keys, row.priority,
-                                   row.rate_per_s, row.burst)
-            for row in tenants
+                                   row.rate_per_s, row.burst) for row in tenants
         ],
         documents.ClientLimits(state.limits.max_header_bytes,
                                state.limits.max_body_bytes,
--- a/src/apricothinge/web/client.py
+++ b/src/apricothinge/web/client.py
@@ -129,16 +129,16 @@
         self._release(address, made)
         return True
 
-    async def exchange(self,
-                       address: settings.Address,
-                       method: str,
-                       target: str,
-                       headers: messages.Headers,
-                       body: messages.Body,
-                       *,
-                       idle_limit_s: float = IDLE_LIMIT_S,
-                       expects: tuple[bytes, bytes] | None = None
-                      ) -> messages.Answer:
+    async def exchange(
+            self,
+            address: settings.Address,
+            method: str,
+            target: str,
+            headers: messages.Headers,
+            body: messages.Body,
+            *,
+            idle_limit_s: float = IDLE_LIMIT_S,
+            expects: tuple[bytes, bytes] | None = None) -> messages.Answer:
         """Sends one request and returns its answer.
 
         Cancelling the call closes the connection, which tells the other side.
@@ -251,10 +251,9 @@
                 pass
             used.skip_answer(method)
 
-    async def _receive(
-            self, used: connection.Connection, address: settings.Address,
-            method: str,
-            expects: tuple[bytes, bytes] | None) -> messages.Answer:
+    async def _receive(self, used: connection.Connection,
+                       address: settings.Address, method: str,
+                       expects: tuple[bytes, bytes] | None) -> messages.Answer:
         head = await self._head(used, method, expects)
         length = self._length_of(used, head, method)
         kept_s = _keep_alive_s(head)
