--- a/src/apricothinge/mesh/attachment.py
+++ b/src/apricothinge/mesh/attachment.py
@@ -235,17 +235,21 @@
 
 
 class RowSource:
-    """Builds the node's own row from what it knows now."""
+    """Builds the node's own row from what it knows now.
 
-    __slots__ = ("_instance", "_incarnation", "_address", "_failure_domain",
+    Attributes:
+        address: "IP:port" of its links, once they are open.
+    """
+
+    __slots__ = ("address", "_instance", "_incarnation", "_failure_domain",
                  "_state", "_upstream")
 
-    def __init__(self, instance: str, incarnation: int, address: str,
-                 failure_domain: str, node_state: state.NodeState,
+    def __init__(self, instance: str, incarnation: int, failure_domain: str,
+                 node_state: state.NodeState,
                  local: upstream.LocalUpstream) -> None:
         self._instance = instance
         self._incarnation = incarnation
-        self._address = address
+        self.address = ""
         self._failure_domain = failure_domain
         self._state = node_state
         self._upstream = local
@@ -258,6 +262,6 @@
             target = frames.TargetRow(target.target_id, target.born,
                                       target.service, target.slots,
                                       target.usable, 0.0)
-        return frames.Row(self._instance, self._incarnation, self._address,
+        return frames.Row(self._instance, self._incarnation, self.address,
                           self._failure_domain, self._state.service,
                           self._state.leaving, target)
--- a/src/apricothinge/mesh/control.py
+++ b/src/apricothinge/mesh/control.py
@@ -214,7 +214,7 @@
             if self._hub is not None:
                 self._hub.report(link, message)
         elif isinstance(message, frames.Ask):
-            if self._hub is not None:
+            if self._hub is not None and self._confirmed():
                 self._hub.ask(link, message)
         elif isinstance(message, frames.Attach):
             if self._hub is None or not self._confirmed():
--- a/src/apricothinge/mesh/dispatch.py
+++ b/src/apricothinge/mesh/dispatch.py
@@ -18,15 +18,37 @@
 # Nodes that refused are asked at most this often in place of others; each
 # costs a round trip, and by then the rest is most likely full as well.
 _PLACEMENTS: Final = 3
-# The budget for repeats is shared by all nodes and grows by a part of the
-# requests; a repeated run also repeats the calls below it.
-_REPEAT_RATIO: Final = 0.01
-_REPEAT_RESERVE: Final = 1.0
+# The fleet may repeat a fifth of the requests for a service. A repeated run
+# also repeats the calls below it, one that was turned away unrun does not.
+_RERUN_RATIO: Final = 0.01
+_RERUN_RESERVE: Final = 1.0
+_RESEND_RATIO: Final = 0.12
+_RESEND_RESERVE: Final = 2.0
 _SMALLEST_LEFT_S: Final = 0.02
 _RETRY_AFTER_S: Final = 0.5
 _FAILED_STATUSES: Final = (500, 502)
 
 
+class _Repeats:
+    """Room for repeats to one service.
+
+    Attributes:
+        reruns: For those that may have run before.
+        resends: For those that an upstream has turned away unrun.
+    """
+
+    __slots__ = ("reruns", "resends")
+
+    def __init__(self) -> None:
+        self.reruns = retries.RatioCap(_RERUN_RATIO, _RERUN_RESERVE)
+        self.resends = retries.RatioCap(_RESEND_RATIO, _RESEND_RESERVE)
+
+    def first_attempt(self) -> None:
+        """Counts a request."""
+        self.reruns.first_attempt()
+        self.resends.first_attempt()
+
+
 class _Outcome:
     """What the last send has come to, where it gave no final answer."""
 
@@ -38,6 +60,11 @@
         self.answer = answer
         self.reached = reached
 
+    def room(self, repeats: _Repeats) -> retries.RatioCap:
+        """Returns what a repeat after this is counted in."""
+        unrun = self.error is not None and self.error.not_run
+        return repeats.resends if unrun else repeats.reruns
+
 
 class Dispatcher:
     """Places requests and repeats those that may be repeated."""
@@ -54,7 +81,7 @@
         self._peers = table
         self._upstream = local
         self._names = header_names
-        self._repeats_by_service: dict[str, retries.RatioCap] = {}
+        self._repeats_by_service: dict[str, _Repeats] = {}
 
     async def run(self, work: upstream.Work, attempts: int) -> messages.Answer:
         """Gets an answer.
@@ -69,8 +96,7 @@
         service = work.call.service
         repeats = self._repeats_by_service.get(service)
         if repeats is None:
-            repeats = self._repeats_by_service[service] = retries.RatioCap(
-                _REPEAT_RATIO, _REPEAT_RESERVE)
+            repeats = self._repeats_by_service[service] = _Repeats()
         repeats.first_attempt()
         tried: set[str] = set()
         placements = 0
@@ -91,7 +117,7 @@
                 may = (attempts > 0 and work.body.replayable and
                        self._repeatable(work, last) and
                        work.deadline - self._loop.time() > _SMALLEST_LEFT_S and
-                       repeats.retry())
+                       last.room(repeats).retry())
             else:
                 placements += 1
                 may = placements < _PLACEMENTS and work.body.replayable
--- a/src/apricothinge/mesh/names.py
+++ b/src/apricothinge/mesh/names.py
@@ -21,13 +21,13 @@
 
     def __init__(self,
                  *,
-                 request_id: bytes = b"apricothinge-request-id",
-                 deadline_ms: bytes = b"apricothinge-deadline-ms",
+                 request_id: bytes = b"x-request-id",
+                 deadline_ms: bytes = b"x-deadline-ms",
                  key: bytes = b"x-api-key",
-                 organisation: bytes = b"apricothinge-organisation",
-                 calling_service: bytes = b"apricothinge-calling-service",
-                 expected_upstream: bytes = b"apricothinge-upstream",
-                 not_run: bytes = b"apricothinge-not-run") -> None:
+                 organisation: bytes = b"x-organisation",
+                 calling_service: bytes = b"x-calling-service",
+                 expected_upstream: bytes = b"x-expected-upstream",
+                 not_run: bytes = b"x-not-run") -> None:
         self.request_id = request_id
         self.deadline_ms = deadline_ms
         self.key = key
--- a/src/apricothinge/mesh/node.py
+++ b/src/apricothinge/mesh/node.py
@@ -106,7 +106,7 @@
         self._link_server: asyncio.Server | None = None
         self.caller = settings.parse_address(node.caller)
         self.link = settings.parse_address(node.link)
-        self._row = attachment.RowSource(node.instance, incarnation, node.link,
+        self._row = attachment.RowSource(node.instance, incarnation,
                                          node.failure_domain, self.state,
                                          self.upstream)
         self._attachment = attachment.Attachment(self.state,
@@ -141,6 +141,7 @@
             backlog=256)
         port = self._link_server.sockets[0].getsockname()[1]
         self.link = settings.Address(self.link.host, port)
+        self._row.address = str(self.link)
         self._attachment.start()
         self._ticker = asyncio.ensure_future(self._tick_forever())
         log.event("node:started",
--- a/src/apricothinge/mesh/token_server.py
+++ b/src/apricothinge/mesh/token_server.py
@@ -15,7 +15,10 @@
 _LARGEST_SHARES: Final = 2.0
 _SMALLEST_CAP: Final = 2
 # Known nodes attach to a new leader within this time.
-_GATHER_S: Final = 1.0
+_GATHER_S: Final = 0.6
+# A node that has just started knows nothing of what its process before has
+# spent; it is taken for this part of its even share, a busy day's use.
+_FORGOTTEN_PART: Final = 0.6
 
 
 class _Holder:
@@ -72,7 +75,7 @@
     """
 
     __slots__ = ("_window_by_name", "_spent_by_name", "_total_by_name",
-                 "_node_by_instance", "_expected", "_started_at")
+                 "_node_by_instance", "_expected", "_started_at", "_forgotten")
 
     def __init__(self, now: float) -> None:
         """Starts with the leadership; `now` counts during suspension."""
@@ -82,6 +85,7 @@
         self._total_by_name: dict[str, int] = {}
         self._node_by_instance: dict[str, _Node] = {}
         self._expected: set[str] = set()
+        self._forgotten: set[str] = set()
         self._started_at = now
 
     def set_windows(self, window_by_name: dict[str, float]) -> None:
@@ -120,6 +124,8 @@
                 self._spend(now, name, holder.outstanding)
         if now - self._started_at < tokens.LEASE_S:
             self._expected.update(peers)
+            if known is None and not peers:
+                self._forgotten.add(instance)
 
     def detached(self, instance: str) -> None:
         """Takes in that a node can not be given anything now."""
@@ -166,6 +172,15 @@
             return 0
         return len(self._expected - set(self._node_by_instance))
 
+    def _unreported(self, now: float, window: float) -> float:
+        """Tokens that processes before may have spent within the window."""
+        age_s = now - self._started_at
+        if age_s >= tokens.WINDOW_S:
+            return 0.0
+        part = len(self._forgotten) / max(1, len(self._node_by_instance))
+        return (window * _FORGOTTEN_PART * part *
+                (1.0 - age_s / tokens.WINDOW_S))
+
     def _cap(self, window: float) -> float:
         count = max(1, len(self._node_by_instance))
         return max(_SMALLEST_CAP, _LARGEST_SHARES * window / count)
@@ -175,7 +190,8 @@
             max(0, node.holder_by_name[name].outstanding)
             for node in self._node_by_instance.values()
             if name in node.holder_by_name)
-        reserved = self._unknown(now) * self._cap(window)
+        reserved = (self._unknown(now) * self._cap(window) +
+                    self._unreported(now, window))
         return window - self._total_by_name.get(name, 0) - held - reserved
 
     def grant(self, now: float) -> dict[str, dict[str, int]]:
--- a/src/apricothinge/mesh/tokens.py
+++ b/src/apricothinge/mesh/tokens.py
@@ -22,9 +22,9 @@
 LEASE_S: Final = 10.0
 # The bound on a window is a tenth and 20 requests above rate and burst; the
 # server hands out this much of it, and the rest is for nodes that are cut off.
-_SERVED_PART: Final = 1.0
-_SERVED_SLACK: Final = 8.0
-_CUT_OFF_PART: Final = 0.08
+_SERVED_PART: Final = 1.07
+_SERVED_SLACK: Final = 12.0
+_CUT_OFF_PART: Final = 0.03
 _RATE_GAIN: Final = 0.3
 
 
--- /dev/null
+++ b/tests/test_mesh_decisions.py
@@ -0,0 +1,378 @@
+"""Tests of the decisions of apricothinge.mesh, without IO."""
+
+import unittest
+
+import hypothesis
+import msgspec
+from hypothesis import strategies
+
+from apricothinge.mesh import documents
+from apricothinge.mesh import machine
+from apricothinge.mesh import membership
+from apricothinge.mesh import token_server
+from apricothinge.mesh import tokens
+from apricothinge.mesh import waiting
+from tests import mesh_builders
+
+
+class DocumentTest(unittest.TestCase):
+    """Routes and keys are found as the desired state says."""
+
+    def test_longest_prefix(self):
+        """The longest prefix that begins the path is taken."""
+        found = documents.Compiled(
+            1,
+            mesh_builders.document(routes=[
+                mesh_builders.route("short", path_prefix="/a/"),
+                mesh_builders.route("long", path_prefix="/a/b/")
+            ]))
+        self.assertEqual(found.route("H:80", "/a/b/c").name, "long")
+        self.assertEqual(found.route("h", "/a/bc").name, "short")
+        self.assertIsNone(found.route("h", "/ab"))
+        self.assertIsNone(found.route("other", "/a/b/c"))
+
+    def test_weights(self):
+        """Each part gets its share, whatever the order of requests."""
+        found = documents.Compiled(
+            1,
+            mesh_builders.document(routes=[
+                mesh_builders.route(parts=[("s", 90), ("t", 10), ("u", 0)])
+            ]))
+        row = found.document.routes[0]
+        services = [found.service_of(row) for _ in range(200)]
+        self.assertEqual(services.count("s"), 180)
+        self.assertEqual(services.count("t"), 20)
+
+    def test_pack(self):
+        """What is packed is unpacked unchanged."""
+        made = mesh_builders.document(
+            organisations=[mesh_builders.organisation()])
+        self.assertEqual(documents.unpack(documents.pack(made)), made)
+
+
+class QueueTest(unittest.TestCase):
+    """Waiting beside an upstream whose own queue never answers."""
+
+    def _queue(self, slots=4):
+        queue = waiting.Queue()
+        queue.slots = slots
+        return queue
+
+    def test_never_more_than_slots(self):
+        """No more requests run than the upstream has slots for."""
+        queue = self._queue(slots=2)
+        verdicts = []
+        for _ in range(3):
+            verdicts.append(queue.offer(0.0, waiting.Ticket(0, 10.0, 0.0)))
+        self.assertLessEqual(queue.running, 2)
+        self.assertEqual(verdicts[-1], waiting.Verdict.WAIT)
+
+    def test_important_first(self):
+        """The most important one that waits runs next, then the oldest."""
+        queue = self._queue(slots=1)
+        queue.offer(0.0, waiting.Ticket(0, 10.0, 0.0))
+        low, first, nested = (
+            waiting.Ticket(rank, 10.0, 0.0) for rank in (5, 1, -1))
+        for ticket in (low, first, nested):
+            queue.offer(0.0, ticket)
+        order = []
+        for _ in range(3):
+            queue.finished(0.1)
+            order += queue.ready()
+        self.assertEqual(order, [nested, first, low])
+
+    def test_refused_at_once(self):
+        """What can not run in time is refused when it comes."""
+        queue = self._queue(slots=1)
+        queue.offer(0.0, waiting.Ticket(0, 10.0, 0.0))
+        for _ in range(3):
+            queue.offer(0.0, waiting.Ticket(0, 10.0, 0.0))
+        with self.assertRaises(waiting.Refused) as caught:
+            queue.offer(0.0, waiting.Ticket(0, 0.1, 0.0))
+        self.assertGreater(caught.exception.wait_s, 0.1)
+
+    def test_expired(self):
+        """What has waited for too long leaves and does not run later."""
+        queue = self._queue(slots=1)
+        queue.offer(0.0, waiting.Ticket(0, 10.0, 0.0))
+        late = waiting.Ticket(0, 0.5, 0.0)
+        queue.offer(0.0, late)
+        self.assertEqual(queue.expired(0.6), [late])
+        queue.finished(0.1)
+        self.assertEqual(queue.ready(), [])
+
+    @hypothesis.given(
+        strategies.lists(strategies.tuples(strategies.integers(-1, 3),
+                                           strategies.floats(0.01, 1.0),
+                                           strategies.booleans()),
+                         max_size=60))
+    def test_counts(self, steps):
+        """Running and waiting always add up to what came and has not left."""
+        queue = self._queue(slots=3)
+        running = waiting_count = 0
+        now = 0.0
+        for rank, wait_s, finishes in steps:
+            now += 0.05
+            try:
+                verdict = queue.offer(now,
+                                      waiting.Ticket(rank, now + wait_s, now))
+                running += verdict == waiting.Verdict.RUN
+                waiting_count += verdict == waiting.Verdict.WAIT
+            except waiting.Refused:
+                pass
+            waiting_count -= len(queue.expired(now))
+            if finishes and running:
+                queue.finished(0.05)
+                running -= 1
+            started = len(queue.ready())
+            running += started
+            waiting_count -= started
+            self.assertEqual(queue.running, running)
+            self.assertEqual(queue.queued, waiting_count)
+            self.assertLessEqual(running, queue.limit)
+
+
+class TokenServerTest(unittest.TestCase):
+    """No window ever holds more tokens than an organisation has."""
+
+    def _server(self, window=40.0, nodes=4):
+        server = token_server.TokenServer(0.0)
+        server.set_windows({"o": window})
+        for place in range(nodes):
+            server.attach(0.1, f"n{place}", 1, {}, {}, [])
+        return server
+
+    def test_small_rate_over_many_nodes(self):
+        """Requests that come in threes at one node are not refused.
+
+        A fixed part of this rate would be two and a half for each node.
+        """
+        server = self._server(window=40.0, nodes=16)
+        now = 10.0
+        granted = server.grant(now)
+        self.assertTrue(all(row["o"] >= 1 for row in granted.values()))
+        got = granted["n3"]["o"]
+        while got < 3:
+            more = server.ask(now, "n3", "o")
+            self.assertGreater(more, 0)
+            got += more
+
+    def test_held_tokens_count(self):
+        """What nodes hold is not handed out a second time."""
+        server = self._server(window=40.0)
+        first = server.grant(10.0)
+        again = server.grant(10.1)
+        handed = sum(row["o"] for row in first.values()) + sum(
+            row["o"] for row in again.values())
+        self.assertLessEqual(handed, 40)
+
+    def test_unknown_holders(self):
+        """Until all nodes are heard of, a new leader keeps their part back."""
+        server = token_server.TokenServer(0.0)
+        server.set_windows({"o": 40.0})
+        peers = [f"n{place}" for place in range(4)]
+        server.attach(0.1, "n0", 1, {"o": 5}, {"o": 3}, peers)
+        granted = server.grant(2.0)
+        self.assertLessEqual(granted.get("n0", {}).get("o", 0), 32)
+        self.assertEqual(sum(row["o"] for row in server.grant(2.1).values()), 0)
+
+    @hypothesis.given(
+        strategies.lists(strategies.tuples(
+            strategies.sampled_from(("spend", "spend", "report", "grant",
+                                     "restart", "return", "lost")),
+            strategies.integers(0, 3), strategies.floats(0.0, 0.7)),
+                         max_size=120))
+    def test_window(self, steps):
+        """Whatever nodes do, spending within a window stays bounded.
+
+        Tokens are spent by nodes and reported late, nodes detach and come
+        back, and processes start anew.
+        """
+        server = self._server(window=20.0)
+        stock = [0] * 4
+        spent = [0] * 4
+        returned = [0] * 4
+        incarnation = [1] * 4
+        times = []
+        now = 10.0
+        for action, place, wait_s in steps:
+            now += wait_s
+            name = f"n{place}"
+            server.expire(now)
+            if action == "grant":
+                for instance, row in server.grant(now).items():
+                    stock[int(instance[1])] += row["o"]
+            elif action == "spend" and stock[place]:
+                stock[place] -= 1
+                spent[place] += 1
+                times.append(now)
+            elif action == "return" and stock[place]:
+                stock[place] -= 1
+                returned[place] += 1
+            elif action == "report":
+                server.report(now, name,
+                              {"o": (spent[place], returned[place], 1.0)})
+            elif action in ("restart", "lost"):
+                if action == "restart":
+                    stock[place] = 0
+                    incarnation[place] += 1
+                spent[place] = returned[place] = 0
+                recent = sum(1 for at in times if now - at < tokens.WINDOW_S)
+                server.attach(now, name, incarnation[place],
+                              {"o": stock[place]}, {"o": recent}, [])
+            within = [at for at in times if now - at < tokens.WINDOW_S]
+            self.assertLessEqual(len(within), 20)
+
+
+class StockTest(unittest.TestCase):
+    """A node spends what it was given and no more."""
+
+    def setUp(self):
+        self.stock = tokens.Stock(0.0)
+        self.organisation = mesh_builders.organisation()
+        self.stock.renew(tokens.boot_s())
+
+    def test_spends_stock(self):
+        """Each token lets one request through."""
+        self.stock.add({"o": 2}, 0.0)
+        taken = [
+            self.stock.take(0.1, self.organisation, True) for _ in range(3)
+        ]
+        self.assertEqual(taken, [True, True, False])
+
+    def test_lease(self):
+        """Tokens of a server that may have forgotten them are given up."""
+        stock = tokens.Stock(0.0)
+        stock.renew(tokens.boot_s() - tokens.LEASE_S - 1.0)
+        stock.add({"o": 2}, 0.0)
+        self.assertFalse(stock.take(0.1, self.organisation, True))
+        self.assertEqual(stock.stock(), {})
+
+    def test_lowered_limit(self):
+        """A lowered limit takes tokens out of the stock."""
+        compiled = documents.Compiled(
+            1, mesh_builders.document(organisations=[self.organisation]))
+        self.stock.tick(0.1, compiled, True)
+        self.stock.add({"o": 10}, 0.1)
+        lower = mesh_builders.organisation(rate_per_s=1.0, burst=1.0)
+        self.stock.tick(
+            0.2,
+            documents.Compiled(2,
+                               mesh_builders.document(organisations=[lower])),
+            True)
+        self.assertEqual(self.stock.stock(), {"o": 1})
+        self.assertEqual(self.stock.counts()["o"][1], 9)
+
+    def test_given_back(self):
+        """A request that did not run leaves its token."""
+        self.stock.add({"o": 1}, 0.0)
+        self.assertTrue(self.stock.take(0.1, self.organisation, True))
+        self.stock.give_back(self.organisation)
+        self.assertTrue(self.stock.take(0.2, self.organisation, True))
+
+
+class MembershipTest(unittest.TestCase):
+    """Who is a member of control after losses and returns."""
+
+    def test_fourth_is_spare(self):
+        """Of four live members three vote."""
+        members = {
+            f"c{place}": mesh_builders.member(f"10.0.0.{place}", place < 3)
+            for place in range(4)
+        }
+        silence = dict.fromkeys(members, 0.0)
+        self.assertIsNone(
+            membership.next_members(members, silence, set(members)))
+
+    def test_new_learner_stays(self):
+        """A learner that was only just added is not taken for silent."""
+        members = {
+            "a": mesh_builders.member("10.0.0.1"),
+            "b": mesh_builders.member("10.0.0.2"),
+            "c": mesh_builders.member("10.0.0.3"),
+            "d": mesh_builders.member("10.0.0.4", False)
+        }
+        self.assertIsNone(
+            membership.next_members(members, dict.fromkeys(members, 0.1),
+                                    {"a", "b", "c"}))
+
+    def test_wiped_disk(self):
+        """A member that lost its disk is replaced by its own successor."""
+        members = {
+            "a": mesh_builders.member("10.0.0.1"),
+            "b": mesh_builders.member("10.0.0.2"),
+            "c": mesh_builders.member("10.0.0.3"),
+            "c/new": mesh_builders.member("10.0.0.3", False)
+        }
+        silence = {"a": 0.0, "b": 0.1, "c": 1.0, "c/new": 0.1}
+        changed = membership.next_members(members, silence, {"a", "b", "c/new"})
+        self.assertTrue(changed["c/new"].voter)
+        silence["c"] = 1.2
+        changed = membership.next_members(changed, silence, {"a", "b", "c/new"})
+        self.assertEqual(sorted(changed), ["a", "b", "c/new"])
+
+    def test_lost_for_good(self):
+        """The spare votes in place of a member that stays silent."""
+        members = {
+            "a": mesh_builders.member("10.0.0.1"),
+            "b": mesh_builders.member("10.0.0.2"),
+            "c": mesh_builders.member("10.0.0.3"),
+            "d": mesh_builders.member("10.0.0.4", False)
+        }
+        silence = {"a": 0.0, "b": 0.1, "c": 9.0, "d": 0.1}
+        changed = membership.next_members(members, silence, {"a", "b", "d"})
+        self.assertTrue(changed["d"].voter)
+        changed = membership.next_members(changed, silence, {"a", "b", "d"})
+        self.assertNotIn("c", changed)
+
+    def test_two_of_three(self):
+        """A group of three never gives up a silent member by itself."""
+        members = {
+            name: mesh_builders.member(f"10.0.0.{place}")
+            for place, name in enumerate("abc")
+        }
+        silence = {"a": 0.0, "b": 0.1, "c": 99.0}
+        self.assertIsNone(membership.next_members(members, silence, {"a", "b"}))
+
+
+class MachineTest(unittest.TestCase):
+    """One change wins on each version, and a resend is known again."""
+
+    def _replace(self, state, change_id, base, version):
+        return state.apply(
+            machine_encode(
+                machine.Replace(change_id, base, version, b"t%d" % version,
+                                b"d")))
+
+    def test_race(self):
+        """Of two changes made from one version one is accepted."""
+        state = machine.MeshMachine()
+        self.assertEqual(
+            self._replace(state, b"x", 0, 3).verdict, machine.Verdict.ACCEPTED)
+        self.assertEqual(
+            self._replace(state, b"y", 0, 3).verdict, machine.Verdict.CONFLICT)
+        self.assertEqual(state.text, b"t3")
+
+    def test_resend(self):
+        """A change that was accepted is acknowledged again, also later."""
+        state = machine.MeshMachine()
+        self._replace(state, b"x", 0, 3)
+        self._replace(state, b"y", 3, 4)
+        restored = machine.MeshMachine()
+        restored.restore(state.snapshot())
+        outcome = self._replace(restored, b"x", 0, 3)
+        self.assertEqual(outcome.verdict, machine.Verdict.ACCEPTED)
+        self.assertEqual(restored.version, 4)
+        self.assertEqual(restored.revision, 2)
+
+    def test_version_not_above(self):
+        """A version that does not grow is refused."""
+        state = machine.MeshMachine()
+        self._replace(state, b"x", 0, 3)
+        self.assertEqual(
+            self._replace(state, b"y", 3, 3).verdict, machine.Verdict.STALE)
+
+
+def machine_encode(command):
+    """Encodes a command as the group does."""
+    return msgspec.msgpack.encode(command)
