Tell a new leader when tokens were spent, not only how many

Ruled out: a bound that is too low (1.07 in place of 1.0 changed nothing). Change: nodes tell spent tokens by age; a test plays the change of leader.

--- a/src/apricothinge/link/frames.py
+++ b/src/apricothinge/link/frames.py
@@ -222,14 +222,14 @@
         row: The node.
         revision: The desired state that it has, -1 for none.
         stock: Tokens that it holds, by organisation.
-        recent: Tokens that it spent within the last window.
+        recent: Tokens that it spent within the last window, by age.
         peers: Names of the nodes that it knows.
     """
 
     row: Row
     revision: int
     stock: dict[str, int]
-    recent: dict[str, int]
+    recent: dict[str, list[int]]
     peers: list[str]
 
 
--- a/src/apricothinge/mesh/token_server.py
+++ b/src/apricothinge/mesh/token_server.py
@@ -1,6 +1,6 @@
 """Hands out the tokens of the organisations' rates, at the leader."""
 
-import collections
+import math
 from typing import Final
 
 from apricothinge.mesh import tokens
@@ -74,15 +74,13 @@
     so the count is never too low.
     """
 
-    __slots__ = ("_window_by_name", "_spent_by_name", "_total_by_name",
-                 "_node_by_instance", "_expected", "_started_at", "_forgotten")
+    __slots__ = ("_window_by_name", "_spent_by_name", "_node_by_instance",
+                 "_expected", "_started_at", "_forgotten")
 
     def __init__(self, now: float) -> None:
         """Starts with the leadership; `now` counts during suspension."""
         self._window_by_name: dict[str, float] = {}
-        self._spent_by_name: dict[str, collections.deque[tuple[float,
-                                                               int]]] = {}
-        self._total_by_name: dict[str, int] = {}
+        self._spent_by_name: dict[str, dict[int, int]] = {}
         self._node_by_instance: dict[str, _Node] = {}
         self._expected: set[str] = set()
         self._forgotten: set[str] = set()
@@ -93,7 +91,7 @@
         self._window_by_name = window_by_name
 
     def attach(self, now: float, instance: str, incarnation: int,
-               stock: dict[str, int], recent: dict[str, int],
+               stock: dict[str, int], recent: dict[str, list[int]],
                peers: list[str]) -> None:
         """Takes in a node.
 
@@ -102,7 +100,8 @@
             instance: Its name.
             incarnation: Of its process; one before has ended.
             stock: Tokens that it holds, by organisation.
-            recent: Tokens that it has spent in the last window.
+            recent: Tokens that it has spent in the last window, by age in
+                slots of `tokens.SLOT_S`.
             peers: Nodes that it knows; they may hold tokens as well.
         """
         known = self._node_by_instance.get(instance)
@@ -111,8 +110,9 @@
         for name, count in stock.items():
             node.holder_by_name[name] = _Holder(count)
         if known is None:
-            for name, count in recent.items():
-                self._spend(now, name, count)
+            for name, counts in recent.items():
+                for age, count in enumerate(counts):
+                    self._spend(now - age * tokens.SLOT_S, name, count)
         elif known.incarnation == incarnation:
             # Spent while it was not attached: what it held and holds no more.
             for name, holder in known.holder_by_name.items():
@@ -136,9 +136,9 @@
     def _spend(self, now: float, name: str, count: int) -> None:
         if count <= 0:
             return
-        self._spent_by_name.setdefault(name, collections.deque()).append(
-            (now, count))
-        self._total_by_name[name] = self._total_by_name.get(name, 0) + count
+        slots = self._spent_by_name.setdefault(name, {})
+        slot = math.ceil(now / tokens.SLOT_S)
+        slots[slot] = slots.get(slot, 0) + count
 
     def report(self, now: float, instance: str,
                counts: dict[str, tuple[int, int, float]]) -> None:
@@ -162,9 +162,10 @@
         for instance, node in list(self._node_by_instance.items()):
             if not node.attached and now - node.heard_at > tokens.LEASE_S:
                 del self._node_by_instance[instance]
-        for name, spent in self._spent_by_name.items():
-            while spent and now - spent[0][0] > tokens.WINDOW_S:
-                self._total_by_name[name] -= spent.popleft()[1]
+        oldest = math.floor((now - tokens.WINDOW_S) / tokens.SLOT_S)
+        for slots in self._spent_by_name.values():
+            for slot in [slot for slot in slots if slot < oldest]:
+                del slots[slot]
 
     def _unknown(self, now: float) -> int:
         """Nodes that may hold tokens of the leader before."""
@@ -192,7 +193,8 @@
             if name in node.holder_by_name)
         reserved = (self._unknown(now) * self._cap(window) +
                     self._unreported(now, window))
-        return window - self._total_by_name.get(name, 0) - held - reserved
+        spent = sum(self._spent_by_name.get(name, {}).values())
+        return window - spent - held - reserved
 
     def grant(self, now: float) -> dict[str, dict[str, int]]:
         """Decides who gets tokens now.
--- a/src/apricothinge/mesh/tokens.py
+++ b/src/apricothinge/mesh/tokens.py
@@ -13,10 +13,12 @@
 from apricothinge.mesh import documents
 from apricothinge.rates import gate
 
-__all__ = ["LEASE_S", "Stock", "WINDOW_S", "boot_s", "window_tokens"]
+__all__ = ["LEASE_S", "SLOT_S", "Stock", "WINDOW_S", "boot_s", "window_tokens"]
 
 # The span over which a rate and its burst are counted.
 WINDOW_S: Final = 5.0
+# Ages of spent tokens are told, and forgotten, in steps of this.
+SLOT_S: Final = 0.25
 # Longer than the cuts that occur often, and short enough that what a lost
 # node held is soon used by others.
 LEASE_S: Final = 10.0
@@ -53,6 +55,7 @@
         demand: Smoothed requests per second.
         window: Whole tokens of the organisation in a window, as last known.
         cut_off: Tokens for the time without a server.
+        recent: Times in seconds at which tokens were spent, oldest first.
     """
 
     __slots__ = ("stock", "spent", "returned", "arrived", "demand", "window",
@@ -121,13 +124,21 @@
             if row.stock
         }
 
-    def recent(self, now: float) -> dict[str, int]:
-        """Tokens spent within the last window by organisation."""
+    def recent(self, now: float) -> dict[str, list[int]]:
+        """Tokens spent within the last window by organisation.
+
+        Returns:
+            For each, counts by age in slots of `SLOT_S`, the youngest first.
+        """
         found = {}
         for name, row in self._row_by_name.items():
             self._forget(row, now)
-            if row.recent:
-                found[name] = len(row.recent)
+            if not row.recent:
+                continue
+            slots = [0] * (int(WINDOW_S / SLOT_S) + 1)
+            for spent_at in row.recent:
+                slots[int(max(0.0, now - spent_at) / SLOT_S)] += 1
+            found[name] = slots
         return found
 
     def counts(self) -> dict[str, tuple[int, int, float]]:
--- a/tests/test_mesh_decisions.py
+++ b/tests/test_mesh_decisions.py
@@ -171,11 +171,26 @@
         server = token_server.TokenServer(0.0)
         server.set_windows({"o": 40.0})
         peers = [f"n{place}" for place in range(4)]
-        server.attach(0.1, "n0", 1, {"o": 5}, {"o": 3}, peers)
+        server.attach(0.1, "n0", 1, {"o": 5}, {"o": [3]}, peers)
         granted = server.grant(2.0)
         self.assertLessEqual(granted.get("n0", {}).get("o", 0), 32)
         self.assertEqual(sum(row["o"] for row in server.grant(2.1).values()), 0)
 
+    def test_new_leader_knows_when_tokens_were_spent(self):
+        """Tokens spent before a change of leader return with their window.
+
+        Counting them from the change on would refuse a fleet at its rate for
+        a whole window.
+        """
+        server = token_server.TokenServer(0.0)
+        server.set_windows({"o": 40.0})
+        slots = int(tokens.WINDOW_S / tokens.SLOT_S)
+        server.attach(0.1, "n0", 1, {}, {"o": [0] * (slots - 4) + [40]}, ["n0"])
+        server.expire(1.0)
+        self.assertEqual(server.grant(1.0), {})
+        server.expire(1.8)
+        self.assertGreaterEqual(server.grant(1.8)["n0"]["o"], 30)
+
     @hypothesis.given(
         strategies.lists(strategies.tuples(
             strategies.sampled_from(("spend", "spend", "report", "grant",
@@ -219,7 +234,7 @@
                 spent[place] = returned[place] = 0
                 recent = sum(1 for at in times if now - at < tokens.WINDOW_S)
                 server.attach(now, name, incarnation[place],
-                              {"o": stock[place]}, {"o": recent}, [])
+                              {"o": stock[place]}, {"o": [recent]}, [])
             within = [at for at in times if now - at < tokens.WINDOW_S]
             self.assertLessEqual(len(within), 20)
 
