Serve metrics and dumps of mesh processes; log each answer

Change: the admin port for mesh nodes and control, a line for each answer at the entry and beside the upstream, a shorter time to the first election, fewer imports at the start.

--- a/src/apricothinge/control/raft.py
+++ b/src/apricothinge/control/raft.py
@@ -23,6 +23,8 @@
 _LARGEST_BATCH: Final = 256
 _CAUGHT_UP: Final = 16
 _SNAPSHOT_INTERVAL_S: Final = 1.0
+# Of the time between elections, for the first one after a start.
+_FIRST_PART: Final = 0.35
 
 Members = dict[str, messages.Member]
 
@@ -170,7 +172,10 @@
         self.members: Members = {}
         self._members_index = 0
         self._find_members()
-        self._reset_election(now)
+        # Nobody may lead yet; a leader that does is not disturbed by the
+        # question before an election.
+        self._election_at = now + self._timing.election_s * _FIRST_PART * (
+            1.0 + self._random.random())
 
     # The log.
 
--- a/src/apricothinge/daemon.py
+++ b/src/apricothinge/daemon.py
@@ -1,7 +1,6 @@
 """The daemon: one process of the role that its settings give."""
 
 import asyncio
-import gc
 import os
 import pathlib
 import signal
@@ -12,31 +11,20 @@
 from apricothinge import demo
 from apricothinge import errors
 from apricothinge import log
+from apricothinge import runtime
 from apricothinge import settings
 from apricothinge.control import process as control_process
 from apricothinge.node import process as node_process
 
-__all__ = ["EXIT_SETTINGS", "EXIT_STORAGE", "app", "main", "tune_gc"]
+__all__ = ["app", "main"]
 
-EXIT_SETTINGS = 2
-EXIT_STORAGE = 3
 EXIT_SECOND_SIGNAL = 4
 
-_GC_THRESHOLD = (20000, 20, 20)
-
 app = typer.Typer(add_completion=False,
                   pretty_exceptions_enable=False,
                   help=__doc__)
 
 
-def tune_gc() -> None:
-    """Keeps collections short once a process has started."""
-    # What exists after the start stays; collections need not walk it.
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(*_GC_THRESHOLD)
-
-
 async def _run(found: settings.Settings) -> int:
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
@@ -54,7 +42,7 @@
     assert found.node is not None
     node = node_process.Node(found.node)
     await node.start()
-    tune_gc()
+    runtime.tune_gc()
     await stop.wait()
     await node.stop()
     return 0
@@ -63,7 +51,7 @@
 async def _run_control(control: settings.Control, stop: asyncio.Event) -> int:
     instance = control_process.ControlInstance(control)
     await instance.start()
-    tune_gc()
+    runtime.tune_gc()
     stopping = asyncio.ensure_future(stop.wait())
     await asyncio.wait((stopping, instance.group.failed),
                        return_when=asyncio.FIRST_COMPLETED)
@@ -93,10 +81,10 @@
     except errors.ApricothingeError as error:
         typer.echo(str(error), err=True)
         damaged = error.kind is errors.Kind.STORAGE_DAMAGED
-        sys.exit(EXIT_STORAGE if damaged else EXIT_SETTINGS)
+        sys.exit(runtime.EXIT_STORAGE if damaged else runtime.EXIT_SETTINGS)
     except OSError as error:
         typer.echo(f"settings_invalid: {error}", err=True)
-        sys.exit(EXIT_SETTINGS)
+        sys.exit(runtime.EXIT_SETTINGS)
 
 
 def main() -> None:
--- a/src/apricothinge/log.py
+++ b/src/apricothinge/log.py
@@ -7,7 +7,7 @@
 
 import eliot
 
-__all__ = ["Writer", "event", "start"]
+__all__ = ["Writer", "event", "omitted", "start", "start_bounded"]
 
 _BUFFER_BYTES: Final = 1 << 20
 # At 50 lines of 300 bytes a second for each kind, a process with twenty busy
@@ -73,7 +73,37 @@
         """Does nothing: each line is offered as it comes."""
 
 
-_budget_by_kind: dict[str, _Budget] = {}
+class _Budgets:
+    """The budgets of all kinds of lines.
+
+    Attributes:
+        omitted: Lines left out since the process started.
+    """
+
+    __slots__ = ("omitted", "_budget_by_kind")
+
+    def __init__(self) -> None:
+        self.omitted = 0
+        self._budget_by_kind: dict[str, _Budget] = {}
+
+    def take(self, kind: str) -> _Budget | None:
+        """Takes room for a line; None where there is none."""
+        now = time.monotonic()
+        budget = self._budget_by_kind.get(kind)
+        if budget is None:
+            budget = self._budget_by_kind[kind] = _Budget(now)
+        if budget.take(now):
+            return budget
+        self.omitted += 1
+        return None
+
+
+_BUDGETS: Final = _Budgets()
+
+
+def omitted() -> int:
+    """Lines of this process that were left out."""
+    return _BUDGETS.omitted
 
 
 def event(kind: str, **fields: Any) -> None:
@@ -83,11 +113,8 @@
         kind: What was decided or learned.
         **fields: What decided it, and the outcome.
     """
-    now = time.monotonic()
-    budget = _budget_by_kind.get(kind)
+    budget = _BUDGETS.take(kind)
     if budget is None:
-        budget = _budget_by_kind[kind] = _Budget(now)
-    if not budget.take(now):
         return
     if budget.omitted:
         fields["omitted"] = budget.omitted
--- a/src/apricothinge/mesh/control.py
+++ b/src/apricothinge/mesh/control.py
@@ -10,6 +10,7 @@
 
 from apricothinge import errors
 from apricothinge import log
+from apricothinge import metrics
 from apricothinge import settings
 from apricothinge.control import group
 from apricothinge.control import raft
@@ -22,6 +23,8 @@
 from apricothinge.mesh import hub
 from apricothinge.mesh import machine
 from apricothinge.mesh import membership
+from apricothinge.web import admin
+from apricothinge.web import server
 
 __all__ = ["MeshControl"]
 
@@ -48,6 +51,23 @@
     members: dict[str, str]
 
 
+class MeshControlDump(msgspec.Struct):
+    """Everything that a control instance decides by."""
+
+    instance: str
+    name: str
+    role: str
+    term: int
+    leader: str | None
+    commit: int
+    applied: int
+    quorum_age_s: float
+    members: dict[str, raft_messages.Member]
+    revision: int
+    version: int
+    nodes: list[frames.Row]
+
+
 class LinkTransport(group.Transport):
     """Carries Raft messages over one link to each member."""
 
@@ -113,6 +133,10 @@
         self._change: asyncio.Task[None] | None = None
         self._joining: asyncio.Task[None] | None = None
         self._document_revision = -1
+        self.metrics = metrics.ControlMetrics()
+        self._admin_server = server.Server(
+            admin.AdminHandler(self._render_metrics, self.dump),
+            settings.Limits())
 
     # Start.
 
@@ -164,6 +188,8 @@
             backlog=512)
         port = self._server.sockets[0].getsockname()[1]
         self.link = settings.Address(self.link.host, port)
+        await self._admin_server.start(
+            settings.parse_address(self._settings.admin))
         self.group.start()
         self._tasks = [
             asyncio.ensure_future(self._tick_forever()),
@@ -179,6 +205,7 @@
         """Stops taking part."""
         for task in self._tasks:
             task.cancel()
+        self._admin_server.abort()
         await self.group.stop()
         if self._server is not None:
             self._server.close()
@@ -370,6 +397,29 @@
             return
         self._hub.set_document(documents.unpack(self.machine.document))
 
+    def _render_metrics(self) -> bytes:
+        found = self.metrics
+        core = self.group.raft
+        found.term.set(core.term)
+        found.is_leader.set(int(self.group.leads))
+        found.commit.set(core.commit)
+        found.apply_lag.set(core.commit - core.applied)
+        found.snapshot.set(core.snapshot_index)
+        found.quorum_age.set(self.group.age_s())
+        found.members.set(sum(row.voter for row in core.members.values()))
+        found.nodes.set(0 if self._hub is None else len(self._hub.rows()))
+        return found.render()
+
+    def dump(self) -> MeshControlDump:
+        """Takes a dump of what the instance decides by."""
+        core = self.group.raft
+        return MeshControlDump(self._settings.instance, self._name,
+                               core.role.value, core.term, core.leader,
+                               core.commit, core.applied, self.group.age_s(),
+                               dict(core.members), self.machine.revision,
+                               self.machine.version,
+                               [] if self._hub is None else self._hub.rows())
+
     # Operators.
 
     async def replace(self, change_id: bytes, base: int,
@@ -397,6 +447,7 @@
                   version=document.version,
                   verdict=outcome.verdict,
                   current=outcome.version)
+        self.metrics.changes.labels(outcome.verdict).inc()
         if outcome.verdict == machine.Verdict.CONFLICT:
             raise errors.ApricothingeError(
                 errors.Kind.VERSION_CONFLICT,
--- a/src/apricothinge/mesh/dispatch.py
+++ b/src/apricothinge/mesh/dispatch.py
@@ -5,6 +5,7 @@
 
 from apricothinge import errors
 from apricothinge import log
+from apricothinge import metrics
 from apricothinge.mesh import names
 from apricothinge.mesh import peers
 from apricothinge.mesh import upstream
@@ -69,18 +70,19 @@
 class Dispatcher:
     """Places requests and repeats those that may be repeated."""
 
-    __slots__ = ("_own", "_router", "_peers", "_upstream", "_names", "_loop",
-                 "_repeats_by_service")
+    __slots__ = ("_own", "_router", "_peers", "_upstream", "_names", "_metrics",
+                 "_loop", "_repeats_by_service")
 
     def __init__(self, own: str, router: routing.Router, table: peers.Peers,
-                 local: upstream.LocalUpstream,
-                 header_names: names.HeaderNames) -> None:
+                 local: upstream.LocalUpstream, header_names: names.HeaderNames,
+                 counts: metrics.NodeMetrics) -> None:
         self._loop = asyncio.get_running_loop()
         self._own = own
         self._router = router
         self._peers = table
         self._upstream = local
         self._names = header_names
+        self._metrics = counts
         self._repeats_by_service: dict[str, _Repeats] = {}
 
     async def run(self, work: upstream.Work, attempts: int) -> messages.Answer:
@@ -123,6 +125,7 @@
                 may = placements < _PLACEMENTS and work.body.replayable
             if not may:
                 return self._final(last, service)
+            self._metrics.retries.labels(service).inc()
             log.event("request:sent_again",
                       request=work.call.request_id,
                       service=service,
--- a/src/apricothinge/mesh/entry.py
+++ b/src/apricothinge/mesh/entry.py
@@ -66,9 +66,9 @@
                       detail=error.detail,
                       retry_after_s=round(error.retry_after_s, 3),
                       revision=self._state.revision)
-            self._state.count(error.code)
+            self._state.metrics.refusals.labels("entry", "", "",
+                                                error.code).inc()
             raise
-        self._state.count("answered")
         return answer
 
     def _spread(self, wait_s: float) -> float:
@@ -124,12 +124,24 @@
 
     async def _run(self, route: documents.Route,
                    work: upstream.Work) -> messages.Answer:
-        attempts = route.attempts
+        call = work.call
+        started_at = self._loop.time()
         self._state.running += 1
         try:
-            return await self._dispatcher.run(work, attempts)
+            answer = await self._dispatcher.run(work, route.attempts)
         finally:
             self._state.running -= 1
+        self._state.metrics.calls.labels("entry", call.service, str(call.rank),
+                                         f"{answer.status // 100}xx").inc()
+        log.event("request:answered",
+                  request=call.request_id,
+                  route=call.route,
+                  service=call.service,
+                  rank=call.rank,
+                  status=answer.status,
+                  took_s=round(self._loop.time() - started_at, 4),
+                  revision=self._state.revision)
+        return answer
 
     def _route(self, compiled: documents.Compiled,
                request: messages.Request) -> documents.Route:
--- a/src/apricothinge/mesh/node.py
+++ b/src/apricothinge/mesh/node.py
@@ -5,6 +5,8 @@
 import time
 from typing import Final
 
+import msgspec
+
 from apricothinge import log
 from apricothinge import settings
 from apricothinge.link import connection
@@ -19,6 +21,7 @@
 from apricothinge.mesh import streams
 from apricothinge.mesh import upstream
 from apricothinge.overload import routing
+from apricothinge.web import admin
 from apricothinge.web import client
 from apricothinge.web import server
 
@@ -37,6 +40,32 @@
 _GRACE_PART: Final = 0.87
 
 
+class MeshNodeDump(msgspec.Struct):
+    """Everything that a node decides by.
+
+    Attributes:
+        instance: Name of its machine.
+        revision: The desired state in force, -1 for none.
+        ready: Whether callers may send requests.
+        attached_to: The leader of control, empty for none.
+        row: What it tells of itself.
+        load: How full its upstream is.
+        peers: The other nodes.
+        stock: Tokens at hand by organisation.
+        crashes: Crashes by fingerprint.
+    """
+
+    instance: str
+    revision: int
+    ready: bool
+    attached_to: str
+    row: frames.Row
+    load: frames.Load
+    peers: list[frames.Row]
+    stock: dict[str, int]
+    crashes: dict[str, int]
+
+
 class _LinkServer(connection.Receiver):
     """Takes the links of other nodes."""
 
@@ -91,7 +120,7 @@
         self._pool = client.Pool(_BUFFERED_ANSWER_BYTES, unframed=True)
         self.upstream = upstream.LocalUpstream(
             settings.parse_address(node.upstream), header_names, self._pool,
-            self.state.crashes, incarnation)
+            self.state.crashes, self.state.metrics, incarnation)
         self.upstream.changed = self._upstream_changed
         self._router = routing.Router(node.failure_domain, "", source)
         self._sweeper = connection.Sweeper()
@@ -100,7 +129,7 @@
                                   self._router)
         self._dispatcher = dispatch.Dispatcher(node.instance, self._router,
                                                self._peers, self.upstream,
-                                               header_names)
+                                               header_names, self.state.metrics)
         self.callers = streams.Callers(self.upstream.run, self.upstream.load)
         self._limits = node.limits
         self._link_server: asyncio.Server | None = None
@@ -116,6 +145,9 @@
         self._caller_server = server.Server(
             entry.EntryHandler(self.state, self._dispatcher, self._attachment,
                                source), node.limits)
+        self._admin_server = server.Server(
+            admin.AdminHandler(self._render_metrics, self.dump), node.limits)
+        self._ticked_at = self._loop.time()
         self._ticker: asyncio.Task[None] | None = None
         self._ticks = 0
         self._told_load: frames.Load | None = None
@@ -142,6 +174,8 @@
         port = self._link_server.sockets[0].getsockname()[1]
         self.link = settings.Address(self.link.host, port)
         self._row.address = str(self.link)
+        await self._admin_server.start(
+            settings.parse_address(self._settings.admin))
         self._attachment.start()
         self._ticker = asyncio.ensure_future(self._tick_forever())
         log.event("node:started",
@@ -190,6 +224,8 @@
 
     def _tick(self) -> None:
         now = self._loop.time()
+        self.state.metrics.lag.set(max(0.0, now - self._ticked_at - _TICK_S))
+        self._ticked_at = now
         self._ticks += 1
         self.upstream.advance()
         if self._ticks % _SLOW_TICKS == 0:
@@ -227,6 +263,28 @@
                             body_timeout_s=self._limits.body_timeout_s,
                             connections=self._limits.connections))
 
+    def _render_metrics(self) -> bytes:
+        found = self.state.metrics
+        load = self.upstream.load()
+        found.limit.set(load.slots)
+        found.in_flight.set(load.running)
+        found.queued.set(load.queued)
+        found.revision.set(self.state.revision)
+        found.connections.set(self._caller_server.open_connections)
+        found.peers.set(self._peers.linked)
+        found.lines_omitted.set(log.omitted())
+        for name, count in self.state.stock.stock().items():
+            found.tokens.labels(name).set(count)
+        return found.render()
+
+    def dump(self) -> MeshNodeDump:
+        """Takes a dump of the node's state."""
+        return MeshNodeDump(
+            self._settings.instance, self.state.revision, self.ready,
+            self._attachment.attached_to, self._row.row(), self.upstream.load(),
+            [peer.row for peer in self._peers.by_instance.values()],
+            self.state.stock.stock(), self.state.crashes.rows())
+
     async def stop(self) -> None:
         """Stops gracefully: requests that are there or still come are served.
 
@@ -251,6 +309,7 @@
         if self._ticker is not None:
             self._ticker.cancel()
         self._caller_server.abort()
+        self._admin_server.abort()
         self._peers.stop()
         if self._link_server is not None:
             self._link_server.close()
--- a/src/apricothinge/mesh/peers.py
+++ b/src/apricothinge/mesh/peers.py
@@ -115,6 +115,12 @@
         self._router = router
         self.by_instance: dict[str, Peer] = {}
 
+    @property
+    def linked(self) -> int:
+        """Nodes to which there is a link."""
+        return sum(
+            peer.calls.link is not None for peer in self.by_instance.values())
+
     def listed(self, row: frames.Row) -> None:
         """Takes in a row from control."""
         if row.instance == self._own:
--- a/src/apricothinge/mesh/state.py
+++ b/src/apricothinge/mesh/state.py
@@ -1,9 +1,9 @@
 """The tables of a mesh node, shared by the systems that run over them."""
 
 import asyncio
-import collections
 
 from apricothinge import log
+from apricothinge import metrics
 from apricothinge.mesh import documents
 from apricothinge.mesh import names
 from apricothinge.mesh import tokens
@@ -25,11 +25,11 @@
         running: Requests from this machine in progress.
         leaving: Whether it is being stopped.
         changed: Set where control should be told something.
-        outcomes: Requests from this machine by outcome.
+        metrics: What it counts.
     """
 
     __slots__ = ("names", "compiled", "stock", "crashes", "running", "leaving",
-                 "changed", "outcomes", "_service", "_announced")
+                 "changed", "metrics", "_service", "_announced")
 
     def __init__(self, header_names: names.HeaderNames, service: str) -> None:
         self.names = header_names
@@ -39,7 +39,7 @@
         self.running = 0
         self.leaving = False
         self.changed = asyncio.Event()
-        self.outcomes: collections.Counter[str] = collections.Counter()
+        self.metrics = metrics.NodeMetrics()
         self._service = service
         self._announced = ""
 
@@ -67,7 +67,3 @@
                   version=compiled.document.version,
                   routes=len(compiled.document.routes))
         return True
-
-    def count(self, outcome: str) -> None:
-        """Counts a request from this machine."""
-        self.outcomes[outcome] += 1
--- a/src/apricothinge/mesh/upstream.py
+++ b/src/apricothinge/mesh/upstream.py
@@ -6,6 +6,7 @@
 
 from apricothinge import errors
 from apricothinge import log
+from apricothinge import metrics
 from apricothinge import settings
 from apricothinge.link import frames
 from apricothinge.mesh import names
@@ -79,17 +80,19 @@
 
     __slots__ = ("changed", "in_flight", "_address", "_names", "_pool", "_loop",
                  "_queue", "_known", "_usable", "_gone_ids", "_probing",
-                 "_crashes", "_cold_until", "_incarnation", "_losses",
-                 "_lost_at")
+                 "_crashes", "_metrics", "_cold_until", "_incarnation",
+                 "_losses", "_lost_at")
 
     def __init__(self, address: settings.Address,
                  header_names: names.HeaderNames, pool: client.Pool,
-                 table: crashes.CrashTable, incarnation: int) -> None:
+                 table: crashes.CrashTable, counts: metrics.NodeMetrics,
+                 incarnation: int) -> None:
         self._loop = asyncio.get_running_loop()
         self._address = address
         self._names = header_names
         self._pool = pool
         self._crashes = table
+        self._metrics = counts
         self._queue = waiting.Queue()
         self._known: CheckIn | None = None
         self._usable = False
@@ -217,6 +220,7 @@
                                    f"no {call.service} here takes work")
         if self._crashes.refuses(self._loop.time(), call.fingerprint):
             raise errors.CallError(errors.Kind.CRASH_SUSPECTED)
+        arrived_at = self._loop.time()
         await self._admit(work)
         started_at = self._loop.time()
         answer: messages.Answer | None = None
@@ -225,10 +229,30 @@
         finally:
             if answer is None or answer.rest is None:
                 self._release(started_at)
+            self._note(work, known, answer, arrived_at, started_at)
         if answer.rest is not None:
             answer.on_done = lambda whole: self._release(started_at)
         return answer
 
+    def _note(self, work: Work, known: CheckIn, answer: messages.Answer | None,
+              arrived_at: float, started_at: float) -> None:
+        """Counts and logs what became of a request that was sent."""
+        call = work.call
+        held_s = self._loop.time() - started_at
+        labels = (call.service, str(call.rank))
+        self._metrics.queue_delay.labels(*labels).observe(started_at -
+                                                          arrived_at)
+        self._metrics.call_seconds.labels(*labels).observe(held_s)
+        log.event("upstream:ran",
+                  request=call.request_id,
+                  upstream=known.upstream_id,
+                  born=known.born,
+                  waited_s=round(started_at - arrived_at, 4),
+                  held_s=round(held_s, 4),
+                  status=0 if answer is None else answer.status,
+                  running=self._queue.running,
+                  queued=self._queue.queued)
+
     async def _admit(self, work: Work) -> None:
         now = self._loop.time()
         left_s = work.deadline - now
--- a/src/apricothinge/metrics.py
+++ b/src/apricothinge/metrics.py
@@ -35,7 +35,8 @@
 
     __slots__ = ("registry", "calls", "refusals", "call_seconds", "queue_delay",
                  "limit", "in_flight", "queued", "retries", "tokens",
-                 "revision", "revision_age", "connections")
+                 "revision", "revision_age", "connections", "peers", "lag",
+                 "lines_omitted")
 
     def __init__(self) -> None:
         self.registry = prometheus_client.CollectorRegistry()
@@ -80,6 +81,11 @@
             "revision_age_seconds",
             "Time since a quorum confirmed the configuration.")
         self.connections = self._gauge("connections", "Callers connected.")
+        self.peers = self._gauge("peers", "Other nodes with a link.")
+        self.lag = self._gauge("loop_lag_seconds",
+                               "How late the loop ran its last tick.")
+        self.lines_omitted = self._gauge("log_lines_omitted",
+                                         "Log lines left out.")
 
     def _gauge(self, name: str, text: str) -> prometheus_client.Gauge:
         return prometheus_client.Gauge(f"apricothinge_{name}",
--- a/src/apricothinge/platform/process.py
+++ b/src/apricothinge/platform/process.py
@@ -9,9 +9,9 @@
 from collections.abc import Callable
 from typing import Any, Final
 
-from apricothinge import daemon
 from apricothinge import errors
 from apricothinge import log
+from apricothinge import runtime
 from apricothinge import settings
 from apricothinge.mesh import control
 from apricothinge.mesh import node
@@ -86,7 +86,7 @@
         await _serve(handlers.CheckInHandler(running), found.check_in), await
         _serve(handlers.ReadinessHandler(running), found.readiness)
     ]
-    daemon.tune_gc()
+    runtime.tune_gc()
 
     def reload(changed: settings.Settings) -> None:
         if changed.mesh_node is not None:
@@ -105,7 +105,7 @@
     await running.start()
     port = settings.parse_address(found.operator).port
     made = await _serve(handlers.OperatorHandler(running, port), found.operator)
-    daemon.tune_gc()
+    runtime.tune_gc()
 
     def reload(changed: settings.Settings) -> None:
         if changed.mesh_control is not None:
@@ -127,7 +127,7 @@
         found = file.read()
     except errors.ApricothingeError as error:
         print(str(error), file=sys.stderr)
-        sys.exit(daemon.EXIT_SETTINGS)
+        sys.exit(runtime.EXIT_SETTINGS)
     try:
         if found.mesh_control is not None:
             asyncio.run(_run_control(file, found.mesh_control))
@@ -135,7 +135,7 @@
             asyncio.run(_run_node(file, found.mesh_node))
     except errors.ApricothingeError as error:
         print(str(error), file=sys.stderr)
-        sys.exit(daemon.EXIT_STORAGE)
+        sys.exit(runtime.EXIT_STORAGE)
 
 
 if __name__ == "__main__":
--- a/src/apricothinge/settings.py
+++ b/src/apricothinge/settings.py
@@ -112,6 +112,7 @@
         link: "IP:port" for other nodes.
         check_in: "IP:port" for the upstream's check-ins.
         readiness: "IP:port" for questions whether it is ready.
+        admin: "IP:port" for metrics and dumps.
         seeds: "IP:port" of some control instances' operator ports.
         control_link_port: Port of the links on every control instance.
         grace_s: Seconds between the order to stop and the end.
@@ -125,6 +126,7 @@
     link: str
     check_in: str
     readiness: str
+    admin: str
     seeds: list[str]
     control_link_port: _Port
     grace_s: _Positive = 5.0
@@ -143,6 +145,7 @@
         failure_domain: Where it is.
         link: "IP:port" for nodes and other control instances.
         operator: "IP:port" for operators.
+        admin: "IP:port" for metrics and dumps.
         data: Data folder.
         seeds: As in MeshNode.
         control_link_port: As in MeshNode.
@@ -154,6 +157,7 @@
     failure_domain: str
     link: str
     operator: str
+    admin: str
     data: str
     seeds: list[str]
     control_link_port: _Port
--- a/tests/mesh_fleet.py
+++ b/tests/mesh_fleet.py
@@ -138,6 +138,7 @@
                                               failure_domain="a",
                                               link=f"127.0.0.1:{port}",
                                               operator="127.0.0.1:1",
+                                              admin="127.0.0.1:0",
                                               data=self.folder.name,
                                               seeds=["127.0.0.1:1"],
                                               control_link_port=port,
@@ -171,6 +172,7 @@
                               link="127.0.0.1:0",
                               check_in="127.0.0.1:0",
                               readiness="127.0.0.1:0",
+                              admin="127.0.0.1:0",
                               seeds=["127.0.0.1:1"],
                               control_link_port=control_port,
                               grace_s=1.0), NAMES, random.Random(place))
