--- a/src/apricothinge/mesh/attachment.py
+++ b/src/apricothinge/mesh/attachment.py
@@ -95,6 +95,11 @@
                 log.event("control:unreachable",
                           address=address,
                           error=str(error))
+            except Exception as error:  # pylint: disable=broad-exception-caught
+                # Without this task the node would keep its state for ever.
+                log.event("control:attach_failed",
+                          address=address,
+                          error=repr(error))
             if self.attached_to:
                 log.event("control:lost", address=self.attached_to)
                 self.attached_to = ""
--- a/src/apricothinge/mesh/entry.py
+++ b/src/apricothinge/mesh/entry.py
@@ -28,6 +28,8 @@
 # than the wait, so that they do not arrive together.
 _SPREAD: Final = 1.0
 _SMALLEST_RETRY_S: Final = 0.1
+# Another node takes the caller's next connection.
+_DRAINING_RETRY_S: Final = 0.2
 # Tokens come back as spending leaves the window, evenly over its span.
 _RATE_RETRY_S: Final = 0.5
 _OUTSIDE: Final = re.compile(r"(^|/)\.{1,2}(/|$)|%2f|%5c|%2e", re.I)
@@ -82,6 +84,9 @@
             raise errors.CallError(errors.Kind.ISOLATED,
                                    "no desired state has arrived yet",
                                    retry_after_s=1.0)
+        if self._state.closed:
+            raise errors.CallError(errors.Kind.DRAINING,
+                                   retry_after_s=_DRAINING_RETRY_S)
         route = self._route(compiled, request)
         organisation = self._organisation(compiled, route, request)
         body = request.body
--- a/src/apricothinge/mesh/node.py
+++ b/src/apricothinge/mesh/node.py
@@ -33,11 +33,12 @@
 _BUFFERED_ANSWER_BYTES: Final = 256 << 10
 # Links of other nodes hear of a changed load at most this often.
 _STATUS_TICKS: Final = 10
-# Callers notice that the node is not ready in the third second.
+# Callers notice that the node is not ready in the third second. What comes
+# later could not be answered before the end, and is refused as not run.
 _LEAVE_AFTER_S: Final = 3.2
 _DRAIN_STEP_S: Final = 0.05
-# What still runs in the last sixth of the grace time may be cut.
-_GRACE_PART: Final = 0.87
+# The rest is for the end of the process itself.
+_GRACE_PART: Final = 0.95
 
 
 class MeshNodeDump(msgspec.Struct):
@@ -300,6 +301,7 @@
         while self._loop.time() < until:
             await asyncio.sleep(_DRAIN_STEP_S)
             waited_s = self._loop.time() - started_at
+            self.state.closed = waited_s >= _LEAVE_AFTER_S
             idle = (not self.state.running and not self.callers.running and
                     not self._caller_server.busy_connections)
             if waited_s >= _LEAVE_AFTER_S and idle:
--- a/src/apricothinge/mesh/peers.py
+++ b/src/apricothinge/mesh/peers.py
@@ -55,7 +55,11 @@
             try:
                 link = await connection.dial(address.host, address.port, self,
                                              self._peers.sweeper)
-            except OSError:
+            except OSError as error:
+                log.event("node:unreachable",
+                          node=self.row.instance,
+                          address=self.row.address,
+                          error=str(error))
                 await asyncio.sleep(wait_s)
                 wait_s = min(_LONGEST_RETRY_S, 2 * wait_s)
                 continue
--- a/src/apricothinge/mesh/state.py
+++ b/src/apricothinge/mesh/state.py
@@ -24,12 +24,13 @@
         crashes: Requests that crash upstreams.
         running: Requests from this machine in progress.
         leaving: Whether it is being stopped.
+        closed: Whether it takes no new requests from this machine.
         changed: Set where control should be told something.
         metrics: What it counts.
     """
 
     __slots__ = ("names", "compiled", "stock", "crashes", "running", "leaving",
-                 "changed", "metrics", "_service", "_announced")
+                 "closed", "changed", "metrics", "_service", "_announced")
 
     def __init__(self, header_names: names.HeaderNames, service: str) -> None:
         self.names = header_names
@@ -38,6 +39,7 @@
         self.crashes = crashes.CrashTable(_CRASHES)
         self.running = 0
         self.leaving = False
+        self.closed = False
         self.changed = asyncio.Event()
         self.metrics = metrics.NodeMetrics()
         self._service = service
--- a/tests/test_mesh_nodes.py
+++ b/tests/test_mesh_nodes.py
@@ -340,3 +340,11 @@
             lambda: self.mesh.nodes[1]._router.by_instance["n0"].draining)
         await stopping
         self.mesh.nodes.pop(0)
+
+    async def test_late_in_the_grace_time(self):
+        """What could not be answered before the end is refused, not cut."""
+        await self.mesh.start()
+        self.mesh.nodes[0].state.leaving = True
+        self.mesh.nodes[0].state.closed = True
+        self.assertEqual((await self.mesh.ask())[0], 503)
+        self.assertEqual(self._heads(), [])
