--- a/src/apricothinge/cli.py
+++ b/src/apricothinge/cli.py
@@ -16,6 +16,7 @@
 
 from apricothinge import codec
 from apricothinge import errors
+from apricothinge import explain as explaining
 from apricothinge import keys
 from apricothinge import lists
 from apricothinge import settings
@@ -165,6 +166,37 @@
     typer.echo(text)
 
 
+@app.command()
+def explain(request_id: str = typer.Argument(
+    ..., help="Identity of the request; nested calls begin with it."),
+            files: list[pathlib.Path] = typer.Argument(
+                ..., help="Logs of nodes and control instances."),
+            as_json: bool = _JSON) -> None:
+    """Tells what happened to a request, out of logs.
+
+    Exit code 1 where no line names the request.
+    """
+    try:
+        lines = {
+            str(path): path.read_text(errors="replace").splitlines()
+            for path in files
+        }
+    except OSError as error:
+        _fail(
+            errors.ApricothingeError(errors.Kind.SETTINGS_INVALID, str(error)),
+            as_json)
+    found = explaining.story(request_id, lines)
+    if as_json:
+        typer.echo(msgspec.json.encode(found).decode())
+    for line in found if not as_json else ():
+        fields = " ".join(
+            f"{name}={value}" for name, value in line.fields.items())
+        typer.echo(f"{line.at:.4f} {line.process} {line.kind} {fields}")
+    if not found:
+        typer.echo(f"no line names {request_id}", err=True)
+        sys.exit(EXIT_FAILED)
+
+
 @app.command()
 def validate(folder: pathlib.Path = _FOLDER, as_json: bool = _JSON) -> None:
     """Checks both lists and names the first wrong field."""
--- /dev/null
+++ b/tests/test_explain.py
@@ -0,0 +1,88 @@
+"""Tests of apricothinge.explain and of bounded logs."""
+
+import json
+import os
+import pathlib
+import tempfile
+import unittest
+
+from typer import testing
+
+from apricothinge import cli
+from apricothinge import explain
+from apricothinge import log
+
+
+def _line(kind, at, **fields):
+    return json.dumps({"message_type": kind, "timestamp": at, **fields})
+
+
+_ENTRY = [
+    _line("control:lost", 95.0, address="c1"),
+    _line("state:in_force", 10.0, revision=1),
+    _line("request:sent_again", 100.2, request="q1", after="n2"),
+    _line("request:refused", 100.3, request="q1", code="overloaded"),
+    _line("request:answered", 100.1, request="q2", status=200),
+]
+_BESIDE = [
+    "100.15 n2 " +
+    _line("upstream:ran", 100.15, request="q1.a", status=500, held_s=0.1),
+    "not a line of a log",
+]
+
+
+class StoryTest(unittest.TestCase):
+    """The story of a request has its own lines and what was known then."""
+
+    def test_order(self):
+        """Lines of several processes stand in order of time."""
+        found = explain.story("q1", {"n1": _ENTRY, "n2.log": _BESIDE})
+        self.assertEqual([(line.process, line.kind) for line in found],
+                         [("n1", "control:lost"), ("n2", "upstream:ran"),
+                          ("n1", "request:sent_again"),
+                          ("n1", "request:refused")])
+
+    def test_unknown(self):
+        """A request that no line names has no story."""
+        self.assertEqual(explain.story("q9", {"n1": _ENTRY}), [])
+
+    def test_command(self):
+        """The command prints the story, and fails where there is none."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "n1"
+            path.write_text("\n".join(_ENTRY))
+            runner = testing.CliRunner()
+            found = runner.invoke(cli.app, ["explain", "q1", str(path)])
+            self.assertEqual(found.exit_code, 0)
+            self.assertIn("code=overloaded", found.output)
+            found = runner.invoke(cli.app,
+                                  ["explain", "--json", "q1",
+                                   str(path)])
+            self.assertEqual(
+                json.loads(found.output)[-1]["kind"], "request:refused")
+            found = runner.invoke(cli.app, ["explain", "q9", str(path)])
+            self.assertEqual(found.exit_code, 1)
+
+
+class WriterTest(unittest.TestCase):
+    """A reader that stops reading stops nobody."""
+
+    def test_reader_stops(self):
+        """Lines beyond the buffer are dropped and counted; none blocks."""
+        reader, writer = os.pipe()
+        self.addCleanup(os.close, reader)
+        self.addCleanup(os.close, writer)
+        made = log.Writer(writer)
+        for _ in range(3000):
+            made.write(b"x" * 999 + b"\n")
+        self.assertGreater(made.omitted, 0)
+        read = os.read(reader, 1 << 20)
+        self.assertTrue(read)
+        made.write(b"after\n")
+
+    def test_budget(self):
+        """Each kind of line has a budget; what is left out is counted."""
+        before = log.omitted()
+        for _ in range(500):
+            log.event("test:budget")
+        self.assertGreaterEqual(log.omitted() - before, 300)
