Refuse a timeout of 0, two routes in one place, and shared keys

Ruled out: a lost update (the nodes had versions 40 and 42 within 3 ms), the order of prefixes, split weights. Change: the three are refused with field, found and expected.

--- a/src/apricothinge/platform/wire.py
+++ b/src/apricothinge/platform/wire.py
@@ -185,9 +185,9 @@
     except ValueError:
         raise _invalid(f"{field} routeType", repr(row.route_type),
                        [kind.value for kind in documents.RouteKind]) from None
-    if row.timeout_s > _LONGEST_TIMEOUT_S:
+    if not 0 < row.timeout_s <= _LONGEST_TIMEOUT_S:
         raise _invalid(f"{field} timeoutS", row.timeout_s,
-                       f"{_LONGEST_TIMEOUT_S:g} at most")
+                       f"more than 0 and {_LONGEST_TIMEOUT_S:g} at most")
     if row.max_attempts < 1:
         raise _invalid(f"{field} maxAttempts", row.max_attempts, "1 at least")
     parts = [
@@ -211,6 +211,24 @@
                            row.max_attempts, row.allow_anonymous, parts)
 
 
+def _check_unique(document: documents.Document) -> None:
+    """Refuses two routes in one place, and a key of two organisations."""
+    places: set[tuple[str, str]] = set()
+    for row in document.routes:
+        place = (row.host.lower(), row.path_prefix)
+        if place in places:
+            raise _invalid(f"routes {row.name} pathPrefix", repr(place),
+                           "one route for a host and prefix")
+        places.add(place)
+    owner_by_key: dict[str, str] = {}
+    for organisation in document.organisations or []:
+        for key in organisation.keys:
+            owner = owner_by_key.setdefault(key, organisation.name)
+            if owner != organisation.name:
+                raise _invalid(f"tenants {organisation.name} apiKeys",
+                               f"a key of {owner}", "keys of its own")
+
+
 def change(base: bytes | None, text: bytes) -> Change:
     """Decodes and checks a change.
 
@@ -245,6 +263,7 @@
                                state.limits.max_body_bytes,
                                state.limits.header_timeout_s,
                                state.limits.idle_timeout_s))
+    _check_unique(document)
     number = _version((base or b"0").decode("latin-1").strip(), "Base-Version")
     digest = hashlib.sha256(msgspec.json.encode(plain, order="deterministic"))
     digest.update(str(number).encode())
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -51,6 +51,7 @@
             "weights": _row(split=split, service=None),
             "weight": _row(split=below, service=None),
             "timeoutS": _row(timeout=601),
+            "more than 0": _row(timeout=0),
             "maxAttempts": _row(attempts=0),
             "routeType": _row(kind="sometimes"),
             "rows": _row()[:-1],
@@ -64,6 +65,24 @@
                 self.assertIn(field, str(caught.exception))
                 self.assertIn("expected", str(caught.exception))
 
+    def test_two_in_one_place(self):
+        """Two routes of one host and prefix are refused."""
+        rows = [_row(), _row(name="q", host="H")]
+        with self.assertRaises(errors.ApricothingeError) as caught:
+            wire.change(b"0", mesh_builders.state_text(routes=rows))
+        self.assertIn("pathPrefix", str(caught.exception))
+
+    def test_shared_key(self):
+        """A key of two organisations is refused, and not shown."""
+        tenants = {
+            "columns": ["name", "apiKeys"],
+            "rows": [["o", ["k1-secret"]], ["p", ["k2", "k1-secret"]]]
+        }
+        with self.assertRaises(errors.ApricothingeError) as caught:
+            wire.change(b"0", mesh_builders.state_text(tenants=tenants))
+        self.assertIn("apiKeys", str(caught.exception))
+        self.assertNotIn("k1-secret", str(caught.exception))
+
     def test_cut_short(self):
         """Half a state is refused."""
         text = mesh_builders.state_text()
