Count each crash of an upstream, also quick ones

Cause: losses within half a second counted as one crash, so that an upstream that came back at once could be crashed any number of times by one request; a new test of the three crashes failed with 502 in place of 503. Ruled out: the table of crashes (it had one crash id for three crashes). Change: a crash is counted when the upstream goes from usable to down.

--- a/src/apricothinge/mesh/upstream.py
+++ b/src/apricothinge/mesh/upstream.py
@@ -18,8 +18,6 @@
 __all__ = ["CheckIn", "LocalUpstream", "Work"]
 
 _PROBE_S: Final = 0.25
-# Work lost within this time belongs to the same crash.
-_CRASH_WINDOW_S: Final = 0.5
 _SMALLEST_LEFT_S: Final = 0.01
 # An upstream's own clean-up answers shortly after the deadline that it got.
 _ANSWER_SLACK_S: Final = 0.05
@@ -81,7 +79,7 @@
     __slots__ = ("changed", "in_flight", "_address", "_names", "_pool", "_loop",
                  "_queue", "_known", "_usable", "_gone_ids", "_probing",
                  "_crashes", "_metrics", "_cold_until", "_incarnation",
-                 "_losses", "_lost_at")
+                 "_losses")
 
     def __init__(self, address: settings.Address,
                  header_names: names.HeaderNames, pool: client.Pool,
@@ -101,7 +99,6 @@
         self._cold_until = 0.0
         self._incarnation = incarnation
         self._losses = 0
-        self._lost_at = 0.0
         self.changed = _nothing
         self.in_flight: collections.Counter[str] = collections.Counter()
 
@@ -341,20 +338,18 @@
 
     async def _note_loss(self, detail: str) -> None:
         """Tells a crash of the upstream from the loss of one answer."""
-        now = self._loop.time()
         suspects = list(self.in_flight)
-        if now - self._lost_at > _CRASH_WINDOW_S:
-            self._losses += 1
-        self._lost_at = now
-        crash_id = f"{self._address}:{self._incarnation}:{self._losses}"
-        if not self._usable:
+        if not self._usable or await self._pool.probe(self._address):
             return
-        if await self._pool.probe(self._address):
+        if not self._usable:
+            # Another request of the same crash was here first.
             return
         self._down()
+        self._losses += 1
+        crash_id = f"{self._address}:{self._incarnation}:{self._losses}"
         log.event("upstream:crashed", error=detail, in_flight=len(suspects))
         for name in suspects:
-            self._crashes.crashed(now, name, crash_id)
+            self._crashes.crashed(self._loop.time(), name, crash_id)
 
 
 def _nothing() -> None:
--- a/tests/test_mesh_nodes.py
+++ b/tests/test_mesh_nodes.py
@@ -348,3 +348,34 @@
         self.mesh.nodes[0].state.closed = True
         self.assertEqual((await self.mesh.ask())[0], 503)
         self.assertEqual(self._heads(), [])
+
+
+class CrashTest(MeshTest):
+    """A request that crashes every upstream that runs it."""
+
+    async def test_stopped_after_the_third(self):
+        """It is refused after three crashes; its neighbours are served."""
+        await self.mesh.start(services=("s",))
+        running = self.mesh.upstreams[0]
+
+        async def behave(head, content, writer):
+            del content
+            if b"/a/bad" in head:
+                running.stop()
+                await asyncio.sleep(60)
+            writer.write(mesh_fleet.answer(head))
+            return True
+
+        self._behave(behave)
+        for _ in range(3):
+            status, _, _ = await self.mesh.ask(path="/a/bad")
+            self.assertIn(status, (502, 503))
+            await self.mesh.until(
+                lambda: not self.mesh.nodes[0].upstream.row().usable)
+            await running.start(running.port)
+            await self.mesh.until(
+                lambda: self.mesh.nodes[0].upstream.row().usable)
+        crashed = len(self._heads())
+        self.assertEqual((await self.mesh.ask(path="/a/bad"))[0], 503)
+        self.assertEqual(len(self._heads()), crashed)
+        self.assertEqual((await self.mesh.ask(path="/a/good"))[0], 200)
