--- a/src/apricothinge/link/frames.py
+++ b/src/apricothinge/link/frames.py
@@ -10,7 +10,7 @@
 __all__ = [
     "Abort", "AnswerHead", "Ask", "Attach", "Busy", "Call", "Cancel", "Credit",
     "Data", "Frame", "Hello", "Join", "Joined", "Load", "Ping", "Pong",
-    "Refusal", "Report", "Row", "Status", "Step", "StepReply", "TargetRow",
+    "Refusal", "Report", "Row", "Status", "Step", "StepReply", "UpstreamRow",
     "Tokens", "Update", "decode", "encode"
 ]
 
@@ -165,7 +165,7 @@
 class Status(_Message, tag=11):
     """What a node tells its peers about its upstream, unasked."""
 
-    target: "TargetRow | None"
+    upstream: "UpstreamRow | None"
     leaving: bool
     load: Load
 
@@ -173,11 +173,11 @@
 # The fleet.
 
 
-class TargetRow(_Message):
+class UpstreamRow(_Message):
     """An upstream as the node beside it knows it.
 
     Attributes:
-        target_id: Its name.
+        upstream_id: Its name.
         born: Its start, in milliseconds of its own time of day.
         service: Which service it is.
         slots: Requests that it runs at once.
@@ -185,7 +185,7 @@
         cold_s: Seconds for which it is still slow.
     """
 
-    target_id: str
+    upstream_id: str
     born: int
     service: str
     slots: int
@@ -203,7 +203,7 @@
         failure_domain: Where it is.
         service: The service of its machine.
         leaving: Whether it is being stopped.
-        target: Its upstream, once it has been heard of.
+        upstream: Its upstream, once it has been heard of.
     """
 
     instance: str
@@ -212,7 +212,7 @@
     failure_domain: str
     service: str
     leaving: bool
-    target: TargetRow | None
+    upstream: UpstreamRow | None
 
 
 class Attach(_Message, tag=12):
--- a/src/apricothinge/mesh/attachment.py
+++ b/src/apricothinge/mesh/attachment.py
@@ -261,12 +261,11 @@
 
     def row(self) -> frames.Row:
         """Returns the row."""
-        target = self._upstream.row()
-        if target is not None:
+        row = self._upstream.row()
+        if row is not None:
             # It counts down by itself; only its start is news.
-            target = frames.TargetRow(target.target_id, target.born,
-                                      target.service, target.slots,
-                                      target.usable, 0.0)
+            row = frames.UpstreamRow(row.upstream_id, row.born, row.service,
+                                     row.slots, row.usable, 0.0)
         return frames.Row(self._instance, self._incarnation, self.address,
                           self._failure_domain, self._state.service,
-                          self._state.leaving, target)
+                          self._state.leaving, row)
--- a/src/apricothinge/mesh/peers.py
+++ b/src/apricothinge/mesh/peers.py
@@ -139,8 +139,9 @@
         known.listed = True
         older = row.incarnation < known.row.incarnation
         # What a node has said on its link is newer than what control heard.
-        if not older and (known.calls.link is None or row.incarnation
-                          > known.row.incarnation or known.row.target is None):
+        if not older and (known.calls.link is None or
+                          row.incarnation > known.row.incarnation or
+                          known.row.upstream is None):
             known.row = row
         self.refresh(known)
 
@@ -156,7 +157,7 @@
         row = peer.row
         peer.row = frames.Row(row.instance, row.incarnation, row.address,
                               row.failure_domain, row.service, status.leaving,
-                              status.target)
+                              status.upstream)
         self.refresh(peer)
 
     def loaded(self, peer: Peer) -> None:
@@ -169,17 +170,17 @@
     def refresh(self, peer: Peer) -> None:
         """Puts into the router whether a node's upstream takes work."""
         row = peer.row
-        target = row.target
+        upstream = row.upstream
         now = self._loop.time()
         self._router.put(
             routing.Upstream(row.instance,
-                             "" if target is None else target.service,
+                             "" if upstream is None else upstream.service,
                              row.failure_domain, "",
                              settings.parse_address(row.address),
                              not self._usable(peer, now),
-                             0 if target is None else target.born, now))
-        if target is not None:
-            self._router.set_cold(row.instance, now, target.cold_s)
+                             0 if upstream is None else upstream.born, now))
+        if upstream is not None:
+            self._router.set_cold(row.instance, now, upstream.cold_s)
         self.loaded(peer)
 
     def tick(self, now: float) -> None:
@@ -197,9 +198,9 @@
 
     @staticmethod
     def _usable(peer: Peer, now: float) -> bool:
-        target = peer.row.target
+        upstream = peer.row.upstream
         link = peer.calls.link
-        return (target is not None and target.usable and
+        return (upstream is not None and upstream.usable and
                 not peer.row.leaving and link is not None and
                 not link.closed and not link.suspect(now))
 
--- a/src/apricothinge/mesh/upstream.py
+++ b/src/apricothinge/mesh/upstream.py
@@ -107,14 +107,14 @@
         """The service that it has announced, empty before."""
         return "" if self._known is None else self._known.service
 
-    def row(self) -> frames.TargetRow | None:
+    def row(self) -> frames.UpstreamRow | None:
         """What other nodes are told of it."""
         known = self._known
         if known is None:
             return None
         cold_s = max(0.0, self._cold_until - self._loop.time())
-        return frames.TargetRow(known.upstream_id, known.born, known.service,
-                                known.slots, self._usable, round(cold_s, 1))
+        return frames.UpstreamRow(known.upstream_id, known.born, known.service,
+                                  known.slots, self._usable, round(cold_s, 1))
 
     def load(self) -> frames.Load:
         """How full it is."""
--- a/tests/mesh_fleet.py
+++ b/tests/mesh_fleet.py
@@ -11,6 +11,7 @@
 from apricothinge.mesh import control
 from apricothinge.mesh import names
 from apricothinge.mesh import node
+from tests import fleet
 from tests import mesh_builders
 
 NAMES = names.HeaderNames()
@@ -23,7 +24,7 @@
         return probe.getsockname()[1]
 
 
-class Upstream:
+class Upstream(fleet.ScriptedUpstream):
     """Answers with the request's id, unless a behaviour says otherwise.
 
     Attributes:
@@ -35,37 +36,11 @@
     """
 
     def __init__(self):
+        super().__init__()
         self.behave = None
         self.heads = []
         self.contents = []
         self.cut = 0
-        self.port = 0
-        self._server = None
-        self._writers = set()
-
-    async def start(self, port=0):
-        """Listens."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1",
-                                                  port)
-        self.port = self._server.sockets[0].getsockname()[1]
-
-    def stop(self):
-        """Ends like a killed process."""
-        self._server.close()
-        for writer in list(self._writers):
-            writer.transport.abort()
-
-    async def _serve(self, reader, writer):
-        self._writers.add(writer)
-        try:
-            while await self._one(reader, writer):
-                pass
-        except (ConnectionError, asyncio.IncompleteReadError,
-                asyncio.CancelledError):
-            pass
-        finally:
-            self._writers.discard(writer)
-            writer.close()
 
     async def _one(self, reader, writer):
         head = await reader.readuntil(b"\r\n\r\n")
