Take the newest route after waiting; let a refusal not hide a run

Cause: reading the whole change: (1) a request that waited for its content or for a token across a change of state kept its old route, and the old parts of that route came into force in the new state through the table of turns; (2) when a request that may be repeated had failed once and was then refused elsewhere, its caller was told that it had not run. Ruled out: nothing else reads a route after a wait. Change: route and key are looked up anew where the state has changed; the outcome of an attempt that may have run goes before a later refusal. Measured: two tests that fail before (the old upstream got both requests; 503 in place of 502) and pass after.

--- a/src/apricothinge/mesh/dispatch.py
+++ b/src/apricothinge/mesh/dispatch.py
@@ -61,10 +61,14 @@
         self.answer = answer
         self.reached = reached
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an upstream may have run the request."""
+        return self.reached and (self.error is None or not self.error.not_run)
+
     def room(self, repeats: _Repeats) -> retries.RatioCap:
         """Returns what a repeat after this is counted in."""
-        unrun = self.error is not None and self.error.not_run
-        return repeats.resends if unrun else repeats.reruns
+        return repeats.reruns if self.may_have_run else repeats.resends
 
 
 class Dispatcher:
@@ -103,17 +107,20 @@
         tried: set[str] = set()
         placements = 0
         last: _Outcome | None = None
+        ran: _Outcome | None = None
         while True:
             now = self._loop.time()
             if work.deadline - now < _SMALLEST_LEFT_S and last is None:
                 raise errors.CallError(errors.Kind.EXPIRED)
             row = self._router.pick(now, service, tried)
             if row is None:
-                return self._final(last, service)
+                return self._final(ran or last, service)
             tried.add(row.instance)
             last = await self._send(row, work)
             if last.answer is not None and last.error is None:
                 return last.answer
+            if last.may_have_run:
+                ran = last
             if last.reached:
                 attempts -= 1
                 may = (attempts > 0 and work.body.replayable and
@@ -124,7 +131,9 @@
                 placements += 1
                 may = placements < _PLACEMENTS and work.body.replayable
             if not may:
-                return self._final(last, service)
+                # What a former attempt has come to goes before a refusal:
+                # it would not be true that nothing has run.
+                return self._final(ran or last, service)
             self._metrics.retries.labels(service).inc()
             log.event("request:sent_again",
                       request=work.call.request_id,
--- a/src/apricothinge/mesh/documents.py
+++ b/src/apricothinge/mesh/documents.py
@@ -167,7 +167,7 @@
 
     __slots__ = ("revision", "document", "organisation_by_name",
                  "service_by_name", "_route_by_prefix_by_host",
-                 "_organisation_by_digest", "_spread_by_route")
+                 "_organisation_by_digest", "_spread_by_place")
 
     def __init__(self, revision: int, document: Document) -> None:
         self.revision = revision
@@ -182,7 +182,7 @@
         for route in document.routes:
             self._route_by_prefix_by_host.setdefault(
                 route.host.lower(), {})[route.path_prefix] = route
-        self._spread_by_route: dict[str, _Spread] = {}
+        self._spread_by_place: dict[tuple[str, str], _Spread] = {}
 
     @property
     def keyed(self) -> bool:
@@ -208,8 +208,9 @@
         return self._organisation_by_digest.get(key_digest(key))
 
     def service_of(self, route: Route) -> str:
-        """Chooses the service for the next request of a route."""
-        spread = self._spread_by_route.get(route.name)
+        """Chooses the service for the next request of a route of this state."""
+        place = (route.host, route.path_prefix)
+        spread = self._spread_by_place.get(place)
         if spread is None:
-            spread = self._spread_by_route[route.name] = _Spread(route.parts)
+            spread = self._spread_by_place[place] = _Spread(route.parts)
         return spread.next()
--- a/src/apricothinge/mesh/entry.py
+++ b/src/apricothinge/mesh/entry.py
@@ -30,6 +30,8 @@
 _SMALLEST_RETRY_S: Final = 0.1
 # Another node takes the caller's next connection.
 _DRAINING_RETRY_S: Final = 0.2
+# After a start of everything, control leads and nodes attach within this time.
+_STATELESS_RETRY_S: Final = 1.0
 # Tokens come back as spending leaves the window, evenly over its span.
 _RATE_RETRY_S: Final = 0.5
 _OUTSIDE: Final = re.compile(r"(^|/)\.{1,2}(/|$)|%2f|%5c|%2e", re.I)
@@ -79,11 +81,7 @@
 
     async def _handle(self, request: messages.Request,
                       request_id: str) -> messages.Answer:
-        compiled = self._state.compiled
-        if compiled is None:
-            raise errors.CallError(errors.Kind.ISOLATED,
-                                   "no desired state has arrived yet",
-                                   retry_after_s=1.0)
+        compiled = self._in_force()
         if self._state.closed:
             raise errors.CallError(errors.Kind.DRAINING,
                                    retry_after_s=_DRAINING_RETRY_S)
@@ -97,9 +95,11 @@
             await self._charge(organisation)
         try:
             await body.fill(_REPLAY_BYTES)
-            compiled = self._state.compiled or compiled
-            if not route.anonymous:
-                # The key may have been withdrawn while the content came.
+            if self._state.compiled is not compiled:
+                # Meanwhile the key may have been withdrawn, or the route
+                # have changed.
+                compiled = self._in_force()
+                route = self._route(compiled, request)
                 organisation = self._organisation(compiled, route, request)
             work = self._work(compiled, route, organisation, request,
                               request_id)
@@ -112,6 +112,14 @@
                 self._state.stock.give_back(organisation)
             raise
 
+    def _in_force(self) -> documents.Compiled:
+        compiled = self._state.compiled
+        if compiled is None:
+            raise errors.CallError(errors.Kind.ISOLATED,
+                                   "no desired state has arrived yet",
+                                   retry_after_s=_STATELESS_RETRY_S)
+        return compiled
+
     async def _charge(self, organisation: documents.Organisation) -> None:
         """Spends a token of the organisation's rate."""
         now = self._loop.time()
--- a/tests/test_mesh_nodes.py
+++ b/tests/test_mesh_nodes.py
@@ -218,6 +218,20 @@
         self.assertEqual(status, 502)
         self.assertEqual(len(self._heads()) - before, 1)
 
+    async def test_refused_after_a_failure(self):
+        """A refusal does not hide that a former attempt may have run."""
+        await self.mesh.start()
+
+        async def behave(head, content, writer):
+            del head, content, writer
+            for row in self.mesh.nodes:
+                row.upstream._usable = False
+            return False
+
+        self._behave(behave)
+        self.assertEqual((await self.mesh.ask())[0], 502)
+        self.assertEqual(len(self._heads()), 1)
+
     async def test_turned_away_by_the_upstream(self):
         """A request that an upstream did not run goes to the next one."""
         await self.mesh.start(document=mesh_builders.document(routes=[
@@ -310,6 +324,26 @@
         self.assertEqual((await mesh_fleet.read_answer(reader))[0], 401)
         writer.close()
 
+    async def test_change_during_an_upload(self):
+        """Content that was long on its way goes where the new state says.
+
+        The old route must not come back into force through it either.
+        """
+        await self.mesh.start(services=("s", "t"))
+        reader, writer = await self.mesh.connect()
+        asked = mesh_fleet.request(method="POST", content=b"x" * 100)
+        writer.write(asked[:-50])
+        await asyncio.sleep(0.1)
+        await self.mesh.apply(
+            mesh_builders.document(2,
+                                   routes=[mesh_builders.route(service="t")]))
+        writer.write(asked[-50:])
+        self.assertEqual((await mesh_fleet.read_answer(reader))[0], 200)
+        writer.close()
+        self.assertEqual((await self.mesh.ask())[0], 200)
+        self.assertEqual(self.mesh.upstreams[0].heads, [])
+        self.assertEqual(len(self.mesh.upstreams[1].heads), 2)
+
     async def test_control_restarts(self):
         """What was accepted is there after a restart; nodes go on."""
         await self.mesh.start()
