Drop what the mesh carried and nobody read

Cause: reading the whole change: each call said whether it was repeated, always false; each state built a table of services that nothing looked up; loads were taken in with a time that was thrown away. Change: the three are gone; behaviour and assertions as they were. Conclusion: only dead parts.

--- a/src/apricothinge/link/frames.py
+++ b/src/apricothinge/link/frames.py
@@ -75,7 +75,6 @@
         service: Which service is meant.
         rank: Importance, 0 first; nested calls are below 0.
         idempotent: Whether it may run more than once.
-        repeated: Whether it is not the first send of the request.
         left_s: Seconds until its deadline.
         objective_s: Latency objective of its route in seconds.
         route: Name of its route.
@@ -93,7 +92,6 @@
     service: str
     rank: int
     idempotent: bool
-    repeated: bool
     left_s: float
     objective_s: float
     route: str
--- a/src/apricothinge/mesh/documents.py
+++ b/src/apricothinge/mesh/documents.py
@@ -162,17 +162,15 @@
         revision: Grows by one with each accepted document.
         document: The document.
         organisation_by_name: Organisations.
-        service_by_name: Services.
     """
 
     __slots__ = ("revision", "document", "organisation_by_name",
-                 "service_by_name", "_route_by_prefix_by_host",
-                 "_organisation_by_digest", "_spread_by_place")
+                 "_route_by_prefix_by_host", "_organisation_by_digest",
+                 "_spread_by_place")
 
     def __init__(self, revision: int, document: Document) -> None:
         self.revision = revision
         self.document = document
-        self.service_by_name = {row.name: row for row in document.services}
         rows = document.organisations or []
         self.organisation_by_name = {row.name: row for row in rows}
         self._organisation_by_digest = {
--- a/src/apricothinge/mesh/entry.py
+++ b/src/apricothinge/mesh/entry.py
@@ -218,8 +218,8 @@
         call = frames.Call(
             0, request.method, request.target, headers, request_id,
             compiled.service_of(route), rank, route.kind
-            is documents.RouteKind.IDEMPOTENT, False, 0.0,
-            route.latency_objective_s, route.name,
+            is documents.RouteKind.IDEMPOTENT, 0.0, route.latency_objective_s,
+            route.name,
             crashes.fingerprint(name, request.method, request.target,
                                 body.prefix), b"", body.length, body.complete)
         return upstream.Work(call, body, deadline)
--- a/src/apricothinge/mesh/node.py
+++ b/src/apricothinge/mesh/node.py
@@ -235,7 +235,7 @@
             self._peers.tick(now)
             self._router.tick(now)
             self._take_limits()
-            self._note_own_load(now)
+            self._note_own_load()
         if self._ticks % _STATUS_TICKS == 0:
             load = self.upstream.load()
             if load != self._told_load:
@@ -244,11 +244,11 @@
             self._pool.expire(now)
             self.state.crashes.tick(now)
 
-    def _note_own_load(self, now: float) -> None:
+    def _note_own_load(self) -> None:
         own = self._router.by_instance.get(self._settings.instance)
         if own is not None:
             load = self.upstream.load()
-            own.take_load(now, load.running, load.queued, load.slots)
+            own.take_load(load.running, load.queued, load.slots)
 
     def _take_limits(self) -> None:
         """Puts the desired state's bounds on callers in force."""
--- a/src/apricothinge/mesh/peers.py
+++ b/src/apricothinge/mesh/peers.py
@@ -164,8 +164,8 @@
         """Takes in how full the upstream of a node is."""
         known = self._router.by_instance.get(peer.row.instance)
         if known is not None and peer.load is not None:
-            known.take_load(self._loop.time(), peer.load.running,
-                            peer.load.queued, peer.load.slots)
+            known.take_load(peer.load.running, peer.load.queued,
+                            peer.load.slots)
 
     def refresh(self, peer: Peer) -> None:
         """Puts into the router whether a node's upstream takes work."""
--- a/src/apricothinge/mesh/streams.py
+++ b/src/apricothinge/mesh/streams.py
@@ -297,8 +297,8 @@
 def _numbered(work: upstream.Work, stream: int, now: float) -> frames.Call:
     call = work.call
     return frames.Call(stream, call.method, call.target, call.headers,
-                       call.request_id, call.service, call.rank,
-                       call.idempotent, call.repeated,
+                       call.request_id,
+                       call.service, call.rank, call.idempotent,
                        round(work.deadline - now,
                              4), call.objective_s, call.route, call.fingerprint,
                        work.body.prefix, work.body.length, work.body.complete)
--- a/src/apricothinge/overload/routing.py
+++ b/src/apricothinge/overload/routing.py
@@ -75,10 +75,8 @@
         self.sent_since = 0
         self.slots = 0
 
-    def take_load(self, now: float, running: int, queued: int,
-                  slots: int) -> None:
+    def take_load(self, running: int, queued: int, slots: int) -> None:
         """Takes in how full it says that it is."""
-        del now
         self.slots = slots
         self.fullness = (running + queued) / max(1, slots)
         self.sent_since = 0
--- a/tests/mesh_builders.py
+++ b/tests/mesh_builders.py
@@ -75,7 +75,6 @@
     return frames.Call(stream=stream,
                        method=method,
                        target=target,
-                       repeated=False,
                        objective_s=1.0,
                        route="r",
                        fingerprint="f",
