Refuse at the entry what services below have no room for

Ruled out: throttling each route by its own success (EntryLevels): it would refuse most what fails most, the bookings. Choosing the fewest routes that explain the calls: in the model bookings stay unknown for 12 s, and lookups that are known pay for them. An integral controller on the queue: swings between 0.1 and 1, since a tree takes up to a second. Change: each node learns what its upstream's runs call (windows, ridge regression), adds up slot seconds by service and tells the other nodes; each upstream tells the part of its demand that fits; the entry refuses the least important first, the dearest of those first, nobody below a quarter of all.

--- a/src/apricothinge/link/frames.py
+++ b/src/apricothinge/link/frames.py
@@ -8,10 +8,10 @@
 from apricothinge.control import raft_messages
 
 __all__ = [
-    "Abort", "AnswerHead", "Ask", "Attach", "Busy", "Call", "Cancel", "Credit",
-    "Data", "Frame", "Hello", "Join", "Joined", "Load", "Ping", "Pong",
-    "Refusal", "Report", "Row", "Status", "Step", "StepReply", "UpstreamRow",
-    "Tokens", "Update", "decode", "encode"
+    "Abort", "AnswerHead", "Ask", "Attach", "Busy", "Call", "Cancel", "Costs",
+    "Credit", "Data", "Frame", "Hello", "Join", "Joined", "Load", "Ping",
+    "Pong", "Refusal", "Report", "Row", "Status", "Step", "StepReply",
+    "UpstreamRow", "Tokens", "Update", "decode", "encode"
 ]
 
 _LENGTH: Final = struct.Struct(">I")
@@ -55,12 +55,14 @@
         queued: Requests that wait for it in the node.
         slots: Requests that it may run at once.
         wait_s: Expected wait of a new request in seconds.
+        part: Part of the demand that entries should let in, 0 to 1.
     """
 
     running: int
     queued: int
     slots: int
     wait_s: float
+    part: float
 
 
 class Call(_Message, tag=4):
@@ -168,6 +170,18 @@
     load: Load
 
 
+class Costs(_Message, tag=22):
+    """What requests on the routes that run at a node cost, with their calls.
+
+    Attributes:
+        service: Which service runs there.
+        by_route: Slot seconds by service, by name of the route.
+    """
+
+    service: str
+    by_route: dict[str, dict[str, float]]
+
+
 # The fleet.
 
 
@@ -344,7 +358,7 @@
 
 Frame = Union[Hello, Ping, Pong, Call, Data, Credit, Cancel, AnswerHead,
               Refusal, Abort, Status, Attach, Busy, Report, Update, Step,
-              StepReply, Join, Joined, Ask, Tokens]
+              StepReply, Join, Joined, Ask, Tokens, Costs]
 
 _ENCODER: Final = msgspec.msgpack.Encoder()
 _DECODER: Final[Any] = msgspec.msgpack.Decoder(Frame)
--- a/src/apricothinge/mesh/entry.py
+++ b/src/apricothinge/mesh/entry.py
@@ -9,15 +9,18 @@
 from apricothinge import log
 from apricothinge.link import frames
 from apricothinge.mesh import attachment
+from apricothinge.mesh import costs
 from apricothinge.mesh import dispatch
 from apricothinge.mesh import documents
 from apricothinge.mesh import state
 from apricothinge.mesh import upstream
 from apricothinge.overload import crashes
+from apricothinge.overload import gate
+from apricothinge.overload import routing
 from apricothinge.web import messages
 from apricothinge.web import server
 
-__all__ = ["EntryHandler"]
+__all__ = ["EntryHandler", "Room"]
 
 # Content up to this size can be sent again and names the request.
 _REPLAY_BYTES: Final = 65536
@@ -34,23 +37,66 @@
 _STATELESS_RETRY_S: Final = 1.0
 # Tokens come back as spending leaves the window, evenly over its span.
 _RATE_RETRY_S: Final = 0.5
+# Loads of other nodes are told five times a second.
+_PARTS_AGE_S: Final = 0.05
+# Of ten requests of which one is let in, the last has its turn after ten times
+# this, which callers of a few seconds' patience can still wait for.
+_REFUSED_RETRY_S: Final = 0.3
+_SMALLEST_PART: Final = 0.1
 _OUTSIDE: Final = re.compile(r"(^|/)\.{1,2}(/|$)|%2f|%5c|%2e", re.I)
 
 
+class Room:
+    """Whether the services below have room for a request's tree of calls."""
+
+    __slots__ = ("_loop", "_router", "_costs", "_gate", "_parts", "_parts_at")
+
+    def __init__(self, router: routing.Router, table: costs.CostTable,
+                 source: random.Random) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._router = router
+        self._costs = table
+        self._gate = gate.EntryGate(self._loop.time(), source)
+        self._parts: dict[str, float] = {}
+        self._parts_at = 0.0
+
+    def check(self, call: frames.Call) -> None:
+        """Refuses a request for which a service below has no room.
+
+        Raises:
+            errors.CallError: It should come back later.
+        """
+        now = self._loop.time()
+        if now - self._parts_at >= _PARTS_AGE_S:
+            self._parts = self._router.part_by_service()
+            self._parts_at = now
+        part = self._gate.part(now, call.rank,
+                               self._costs.of(call.service, call.route),
+                               self._parts)
+        if self._gate.admits(part):
+            return
+        raise errors.CallError(errors.Kind.OVERLOADED,
+                               f"room for {part:.2f} of such requests",
+                               retry_after_s=_REFUSED_RETRY_S /
+                               max(_SMALLEST_PART, part))
+
+
 class EntryHandler(server.Handler):
     """Turns requests from this machine into calls."""
 
     __slots__ = ("_state", "_dispatcher", "_attachment", "_loop", "_random",
-                 "_reserved")
+                 "_reserved", "_room", "_costs")
 
     def __init__(self, node_state: state.NodeState,
                  dispatcher: dispatch.Dispatcher,
-                 attached: attachment.Attachment,
-                 source: random.Random) -> None:
+                 attached: attachment.Attachment, room: Room,
+                 local_costs: costs.LocalCosts, source: random.Random) -> None:
         self._loop = asyncio.get_running_loop()
         self._state = node_state
         self._dispatcher = dispatcher
         self._attachment = attached
+        self._room = room
+        self._costs = local_costs
         self._random = source
         self._reserved = node_state.names.reserved()
 
@@ -106,6 +152,12 @@
             if self._state.crashes.refuses(self._loop.time(),
                                            work.call.fingerprint):
                 raise errors.CallError(errors.Kind.CRASH_SUSPECTED)
+            if work.call.rank < 0:
+                # Its parent's work would be lost with it.
+                self._costs.called(work.call.service, work.call.route)
+            elif compiled.keyed:
+                # Without keys nothing tells nested calls from others.
+                self._room.check(work.call)
             return await self._run(route, work)
         except errors.CallError as error:
             if error.not_run and organisation is not None:
--- a/src/apricothinge/mesh/node.py
+++ b/src/apricothinge/mesh/node.py
@@ -12,6 +12,7 @@
 from apricothinge.link import connection
 from apricothinge.link import frames
 from apricothinge.mesh import attachment
+from apricothinge.mesh import costs
 from apricothinge.mesh import dispatch
 from apricothinge.mesh import documents
 from apricothinge.mesh import entry
@@ -80,6 +81,7 @@
         link.send(self._node.hello)
         self._node.callers.opened(link)
         link.send(self._node.status())
+        link.send(self._node.costs())
 
     def received(self, link: connection.Link, message: frames.Frame) -> None:
         """Takes in a message of a call."""
@@ -118,16 +120,18 @@
         source = source or random.Random()
         incarnation = time.time_ns() // 1000
         self.state = state.NodeState(header_names, node.service)
+        self._cost_table = costs.CostTable()
+        self._costs = costs.LocalCosts(self._cost_table)
         self._pool = client.Pool(_BUFFERED_ANSWER_BYTES, unframed=True)
         self.upstream = upstream.LocalUpstream(
             settings.parse_address(node.upstream), header_names, self._pool,
-            self.state.crashes, self.state.metrics, incarnation)
+            self.state.crashes, self.state.metrics, self._costs, incarnation)
         self.upstream.changed = self._upstream_changed
         self._router = routing.Router(node.failure_domain, "", source)
         self._sweeper = connection.Sweeper()
         self.hello = frames.Hello(node.instance, incarnation)
         self._peers = peers.Peers(node.instance, self.hello, self._sweeper,
-                                  self._router)
+                                  self._router, self._cost_table)
         self._dispatcher = dispatch.Dispatcher(node.instance, self._router,
                                                self._peers, self.upstream,
                                                header_names, self.state.metrics)
@@ -144,8 +148,10 @@
                                                  node.control_links(),
                                                  self._sweeper)
         self._caller_server = server.Server(
-            entry.EntryHandler(self.state, self._dispatcher, self._attachment,
-                               source), node.limits)
+            entry.EntryHandler(
+                self.state, self._dispatcher, self._attachment,
+                entry.Room(self._router, self._cost_table, source), self._costs,
+                source), node.limits)
         self._admin_server = server.Server(
             admin.AdminHandler(self._render_metrics, self.dump), node.limits)
         self._ticked_at = self._loop.time()
@@ -190,6 +196,10 @@
         return frames.Status(self.upstream.row(), self.state.leaving,
                              self.upstream.load())
 
+    def costs(self) -> frames.Costs:
+        """What other nodes are told of the routes that run here."""
+        return self._costs.message()
+
     def _upstream_changed(self) -> None:
         self.state.announced(self.upstream.service)
         self._sync_own()
@@ -235,7 +245,12 @@
             self._peers.tick(now)
             self._router.tick(now)
             self._take_limits()
+            self.upstream.measure()
             self._note_own_load()
+            if self._costs.tick():
+                message = self._costs.message()
+                for link in self.callers.links:
+                    link.send(message)
         if self._ticks % _STATUS_TICKS == 0:
             load = self.upstream.load()
             if load != self._told_load:
@@ -248,7 +263,7 @@
         own = self._router.by_instance.get(self._settings.instance)
         if own is not None:
             load = self.upstream.load()
-            own.take_load(load.running, load.queued, load.slots)
+            own.take_load(load.running, load.queued, load.slots, load.part)
 
     def _take_limits(self) -> None:
         """Puts the desired state's bounds on callers in force."""
--- a/src/apricothinge/mesh/peers.py
+++ b/src/apricothinge/mesh/peers.py
@@ -7,6 +7,7 @@
 from apricothinge import settings
 from apricothinge.link import connection
 from apricothinge.link import frames
+from apricothinge.mesh import costs
 from apricothinge.mesh import streams
 from apricothinge.overload import routing
 
@@ -78,6 +79,9 @@
             self.load = message.load
             self._peers.told(self, message)
             return
+        if isinstance(message, frames.Costs):
+            self._peers.costs.put(message)
+            return
         if isinstance(message, frames.Hello):
             if message.instance != self.row.instance:
                 # The address now belongs to another machine.
@@ -106,16 +110,20 @@
         by_instance: Them.
         hello: What each link begins with.
         sweeper: Probes the links.
+        costs: What requests cost the services below.
     """
 
-    __slots__ = ("by_instance", "hello", "sweeper", "_router", "_own", "_loop")
+    __slots__ = ("by_instance", "hello", "sweeper", "costs", "_router", "_own",
+                 "_loop")
 
     def __init__(self, own: str, hello: frames.Hello,
-                 sweeper: connection.Sweeper, router: routing.Router) -> None:
+                 sweeper: connection.Sweeper, router: routing.Router,
+                 table: costs.CostTable) -> None:
         self._loop = asyncio.get_running_loop()
         self._own = own
         self.hello = hello
         self.sweeper = sweeper
+        self.costs = table
         self._router = router
         self.by_instance: dict[str, Peer] = {}
 
@@ -164,8 +172,8 @@
         """Takes in how full the upstream of a node is."""
         known = self._router.by_instance.get(peer.row.instance)
         if known is not None and peer.load is not None:
-            known.take_load(peer.load.running, peer.load.queued,
-                            peer.load.slots)
+            load = peer.load
+            known.take_load(load.running, load.queued, load.slots, load.part)
 
     def refresh(self, peer: Peer) -> None:
         """Puts into the router whether a node's upstream takes work."""
--- a/src/apricothinge/mesh/upstream.py
+++ b/src/apricothinge/mesh/upstream.py
@@ -9,9 +9,11 @@
 from apricothinge import metrics
 from apricothinge import settings
 from apricothinge.link import frames
+from apricothinge.mesh import costs
 from apricothinge.mesh import names
 from apricothinge.mesh import waiting
 from apricothinge.overload import crashes
+from apricothinge.overload import pressure
 from apricothinge.web import client
 from apricothinge.web import messages
 
@@ -79,19 +81,21 @@
     __slots__ = ("changed", "in_flight", "_address", "_names", "_pool", "_loop",
                  "_queue", "_known", "_usable", "_gone_ids", "_probing",
                  "_crashes", "_metrics", "_cold_until", "_incarnation",
-                 "_losses")
+                 "_losses", "_costs", "_pressure")
 
     def __init__(self, address: settings.Address,
                  header_names: names.HeaderNames, pool: client.Pool,
                  table: crashes.CrashTable, counts: metrics.NodeMetrics,
-                 incarnation: int) -> None:
+                 local_costs: costs.LocalCosts, incarnation: int) -> None:
         self._loop = asyncio.get_running_loop()
         self._address = address
         self._names = header_names
         self._pool = pool
         self._crashes = table
         self._metrics = counts
+        self._costs = local_costs
         self._queue = waiting.Queue()
+        self._pressure = pressure.Pressure(self._loop.time())
         self._known: CheckIn | None = None
         self._usable = False
         self._gone_ids: collections.deque[str] = collections.deque(maxlen=64)
@@ -120,7 +124,8 @@
         """How full it is."""
         queue = self._queue
         return frames.Load(queue.running, queue.queued, queue.limit,
-                           round(queue.expected_wait_s(0), 3))
+                           round(queue.expected_wait_s(0), 3),
+                           round(self._pressure.part, 3))
 
     # Check-ins.
 
@@ -142,6 +147,7 @@
         else:
             self._new_lifetime(told)
         self._known = told
+        self._costs.service = told.service
         self._queue.slots = told.slots
         self._cold_until = self._loop.time() + told.cold_s
         usable = not told.draining
@@ -220,6 +226,7 @@
         arrived_at = self._loop.time()
         await self._admit(work)
         started_at = self._loop.time()
+        self._costs.started(call.route)
         answer: messages.Answer | None = None
         try:
             answer = await self._exchange(work)
@@ -236,6 +243,7 @@
         """Counts and logs what became of a request that was sent."""
         call = work.call
         held_s = self._loop.time() - started_at
+        self._costs.ended(call.route, held_s)
         labels = (call.service, str(call.rank))
         self._metrics.queue_delay.labels(*labels).observe(started_at -
                                                           arrived_at)
@@ -256,6 +264,8 @@
         if left_s < _SMALLEST_LEFT_S:
             raise errors.CallError(errors.Kind.EXPIRED)
         rank = work.call.rank
+        hold_s = self._costs.hold_s(work.call.route, self._queue.hold_s)
+        self._pressure.offered(hold_s)
         ticket = waiting.Ticket(
             rank, now +
             waiting.Queue.patience_s(rank < 0, left_s, work.call.objective_s),
@@ -263,6 +273,7 @@
         try:
             verdict = self._queue.offer(now, ticket)
         except waiting.Refused as refused:
+            self._pressure.refused(hold_s)
             raise errors.CallError(errors.Kind.OVERLOADED,
                                    retry_after_s=refused.wait_s) from None
         if verdict == waiting.Verdict.RUN:
@@ -289,6 +300,7 @@
     def advance(self) -> None:
         """Refuses what waited for too long and starts what has room."""
         for ticket in self._queue.expired(self._loop.time()):
+            self._pressure.refused(self._queue.hold_s)
             _wake(ticket, False)
         if not self._usable:
             return
@@ -296,6 +308,12 @@
             if not _wake(ticket, True):
                 self._queue.running -= 1
 
+    def measure(self) -> None:
+        """Adapts to the load what entries are asked to let in."""
+        queue = self._queue
+        self._pressure.tick(self._loop.time(), queue.queued,
+                            queue.limit if self._usable else 0)
+
     def _headers(self, work: Work, known: CheckIn) -> messages.Headers:
         left_ms = max(1, int((work.deadline - self._loop.time()) * 1000))
         return work.call.headers + [
--- a/src/apricothinge/mesh/waiting.py
+++ b/src/apricothinge/mesh/waiting.py
@@ -81,6 +81,11 @@
         self._hold_s = _FIRST_HOLD_S
         self._waiting_by_rank: dict[int, int] = {}
 
+    @property
+    def hold_s(self) -> float:
+        """Smoothed time in seconds for which a slot is held."""
+        return self._hold_s
+
     @property
     def limit(self) -> int:
         """Requests that are sent to the upstream at once."""
--- a/src/apricothinge/overload/routing.py
+++ b/src/apricothinge/overload/routing.py
@@ -46,12 +46,14 @@
         fullness: Its slots in use as last told, 1 for all of them.
         sent_since: Calls sent to it from here since that was told.
         slots: Calls that it runs at once, 0 where that is not known.
+        part: Part of the demand that it asks entries to let in, 0 to 1.
     """
 
     __slots__ = ("instance", "service", "failure_domain", "region", "peer",
                  "draining", "incarnation", "outstanding", "latency_s",
                  "admitted_part", "failures", "ejections", "ejected_until",
-                 "started_at", "cold_until", "fullness", "sent_since", "slots")
+                 "started_at", "cold_until", "fullness", "sent_since", "slots",
+                 "part")
 
     def __init__(self, instance: str, service: str, failure_domain: str,
                  region: str, peer: settings.Address, draining: bool,
@@ -74,9 +76,12 @@
         self.fullness = 0.0
         self.sent_since = 0
         self.slots = 0
+        self.part = 1.0
 
-    def take_load(self, running: int, queued: int, slots: int) -> None:
+    def take_load(self, running: int, queued: int, slots: int,
+                  part: float) -> None:
         """Takes in how full it says that it is."""
+        self.part = part
         self.slots = slots
         self.fullness = (running + queued) / max(1, slots)
         self.sent_since = 0
@@ -157,6 +162,17 @@
         if row is not None:
             self._by_service[row.service].remove(row)
 
+    def part_by_service(self) -> dict[str, float]:
+        """Part of its demand that each service can take, 0 to 1."""
+        found = {}
+        for service, rows in self._by_service.items():
+            taking = [row for row in rows if not row.draining and row.slots]
+            slots = sum(row.slots for row in taking)
+            if slots:
+                found[service] = sum(
+                    row.part * row.slots for row in taking) / slots
+        return found
+
     def knows(self, service: str) -> bool:
         """Tells whether a service ever had an instance."""
         return service in self._by_service
