--- a/src/apricothinge/link/frames.py
+++ b/src/apricothinge/link/frames.py
@@ -55,7 +55,7 @@
         queued: Requests that wait for it in the node.
         slots: Requests that it may run at once.
         wait_s: Expected wait of a new request in seconds.
-        part: Part of the demand that entries should let in, 0 to 1.
+        part: Part of the demand on its service at which it would be full.
     """
 
     running: int
--- a/src/apricothinge/mesh/node.py
+++ b/src/apricothinge/mesh/node.py
@@ -245,7 +245,7 @@
             self._peers.tick(now)
             self._router.tick(now)
             self._take_limits()
-            self.upstream.measure()
+            self.upstream.measure(self._router.part_by_service())
             self._note_own_load()
             if self._costs.tick():
                 message = self._costs.message()
--- a/src/apricothinge/mesh/upstream.py
+++ b/src/apricothinge/mesh/upstream.py
@@ -308,11 +308,17 @@
             if not _wake(ticket, True):
                 self._queue.running -= 1
 
-    def measure(self) -> None:
-        """Adapts to the load what entries are asked to let in."""
+    def measure(self, part_by_service: dict[str, float]) -> None:
+        """Adapts to the load what entries are asked to let in.
+
+        Args:
+            part_by_service: Part of the demand on each service that entries
+                let in now.
+        """
         queue = self._queue
         self._pressure.tick(self._loop.time(), queue.queued,
-                            queue.limit if self._usable else 0)
+                            queue.limit if self._usable else 0,
+                            part_by_service.get(self.service, 1.0))
 
     def _headers(self, work: Work, known: CheckIn) -> messages.Headers:
         left_ms = max(1, int((work.deadline - self._loop.time()) * 1000))
--- a/src/apricothinge/overload/pressure.py
+++ b/src/apricothinge/overload/pressure.py
@@ -23,6 +23,9 @@
 _REFUSED_PART: Final = 1.0 / 3.0
 # Some requests have to come through to show that there is room again.
 _SMALLEST_PART: Final = 0.1
+# An instance with room makes up for others without, up to this many times its
+# share; placement finds it.
+_LARGEST_PART: Final = 2.0
 
 
 class Pressure:
@@ -34,17 +37,19 @@
     had let in; that part is then set to what the slots can take.
 
     Attributes:
-        part: Part of the demand to let in, 0 to 1.
+        part: Part of the demand on its service at which this instance would
+            be full; over 1 where it has room to spare.
     """
 
-    __slots__ = ("part", "_rate", "_work_s", "_ticked_at", "_told")
+    __slots__ = ("part", "_rate", "_work_s", "_ticked_at", "_let_in")
 
     def __init__(self, now: float) -> None:
-        self.part = 1.0
+        self.part = _LARGEST_PART
         self._rate = 0.0
         self._work_s = 0.0
         self._ticked_at = now
-        self._told: collections.deque[tuple[float, float]] = collections.deque()
+        self._let_in: collections.deque[tuple[float,
+                                              float]] = collections.deque()
 
     def offered(self, hold_s: float) -> None:
         """Counts a call that will hold a slot for some seconds."""
@@ -54,13 +59,14 @@
         """Takes in that there was no room for a call that was offered."""
         self._work_s -= hold_s * (1.0 - _REFUSED_PART)
 
-    def tick(self, now: float, queued: int, slots: int) -> None:
+    def tick(self, now: float, queued: int, slots: int, let_in: float) -> None:
         """Adapts the part to the load.
 
         Args:
             now: Time in seconds.
             queued: Calls that wait.
             slots: Calls that may run at once.
+            let_in: Part of the demand on its service that entries let in now.
         """
         age_s = now - self._ticked_at
         if age_s <= 0.0:
@@ -70,24 +76,19 @@
         self._rate += gain * (max(0.0, self._work_s) / age_s - self._rate)
         self._work_s = 0.0
         if not slots:
-            self.part = 1.0
-            self._told.clear()
+            self.part = _LARGEST_PART
+            self._let_in.clear()
             return
         target = (_DRAINING_TARGET if queued > _LONG_QUEUE * slots else _TARGET)
         load = max(_SMALLEST_LOAD, self._rate / slots)
-        wanted = min(1.0, target * self._past_part(now) / load)
+        wanted = target * self._past_part(now) / load
+        wanted = min(_LARGEST_PART, max(_SMALLEST_PART, wanted))
         self.part += _GAIN * (wanted - self.part)
-        self.part = max(_SMALLEST_PART, self.part)
-        if self.part > 0.99 and wanted >= 1.0:
-            self.part = 1.0
-        self._told.append((now, self.part))
+        self._let_in.append((now, let_in))
 
     def _past_part(self, now: float) -> float:
         """The part by which what arrives now was let in."""
-        while self._told and now - self._told[0][0] > _DELAY_TO_S:
-            self._told.popleft()
-        parts = [
-            part for told_at, part in self._told
-            if now - told_at >= _DELAY_FROM_S
-        ]
+        while self._let_in and now - self._let_in[0][0] > _DELAY_TO_S:
+            self._let_in.popleft()
+        parts = [part for at, part in self._let_in if now - at >= _DELAY_FROM_S]
         return sum(parts) / len(parts) if parts else 1.0
--- a/src/apricothinge/overload/routing.py
+++ b/src/apricothinge/overload/routing.py
@@ -46,7 +46,7 @@
         fullness: Its slots in use as last told, 1 for all of them.
         sent_since: Calls sent to it from here since that was told.
         slots: Calls that it runs at once, 0 where that is not known.
-        part: Part of the demand that it asks entries to let in, 0 to 1.
+        part: Part of the demand on its service at which it would be full.
     """
 
     __slots__ = ("instance", "service", "failure_domain", "region", "peer",
@@ -169,8 +169,9 @@
             taking = [row for row in rows if not row.draining and row.slots]
             slots = sum(row.slots for row in taking)
             if slots:
-                found[service] = sum(
-                    row.part * row.slots for row in taking) / slots
+                found[service] = min(
+                    1.0,
+                    sum(row.part * row.slots for row in taking) / slots)
         return found
 
     def knows(self, service: str) -> bool:
