--- a/src/apricothinge/mesh/node.py
+++ b/src/apricothinge/mesh/node.py
@@ -55,6 +55,8 @@
         peers: The other nodes.
         stock: Tokens at hand by organisation.
         crashes: Crashes by fingerprint.
+        parts: Part of the demand on each service that entries let in.
+        costs: What requests that run here cost each service, by route.
     """
 
     instance: str
@@ -66,6 +68,8 @@
     peers: list[frames.Row]
     stock: dict[str, int]
     crashes: dict[str, int]
+    parts: dict[str, float]
+    costs: dict[str, dict[str, float]]
 
 
 class _LinkServer(connection.Receiver):
@@ -299,7 +303,9 @@
             self._settings.instance, self.state.revision, self.ready,
             self._attachment.attached_to, self._row.row(), self.upstream.load(),
             [peer.row for peer in self._peers.by_instance.values()],
-            self.state.stock.stock(), self.state.crashes.rows())
+            self.state.stock.stock(), self.state.crashes.rows(),
+            self._router.part_by_service(),
+            self._costs.message().by_route)
 
     async def stop(self) -> None:
         """Stops gracefully: requests that are there or still come are served.
--- a/tests/test_mesh_nodes.py
+++ b/tests/test_mesh_nodes.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
+from apricothinge.overload import routing
 from tests import mesh_builders
 from tests import mesh_fleet
 
@@ -413,3 +415,78 @@
         self.assertEqual((await self.mesh.ask(path="/a/bad"))[0], 503)
         self.assertEqual(len(self._heads()), crashed)
         self.assertEqual((await self.mesh.ask(path="/a/good"))[0], 200)
+
+
+class EarlyRefusalTest(MeshTest):
+    """What leads to a full service is refused at the entry."""
+
+    async def _start(self):
+        organisations = [
+            mesh_builders.organisation(keys=[_KEY.decode()],
+                                       rate_per_s=1000.0,
+                                       burst=1000.0)
+        ]
+        await self.mesh.start(services=("s", "t"),
+                              document=mesh_builders.document(
+                                  routes=[
+                                      mesh_builders.route("own"),
+                                      mesh_builders.route("nested",
+                                                          path_prefix="/b/",
+                                                          service="t",
+                                                          anonymous=True)
+                                  ],
+                                  organisations=organisations))
+        await self.mesh.until(lambda: self.mesh.nodes[0].state.stock.stock())
+
+    async def test_costs_are_told(self):
+        """The other node learns what a run with its call costs both."""
+        await self._start()
+
+        async def call(head, content, writer):
+            del content
+            await self.mesh.ask(path="/b/1", request_id=b"q1b")
+            writer.write(mesh_fleet.answer(head))
+            return True
+
+        self.mesh.upstreams[0].behave = call
+        names = mesh_fleet.NAMES
+
+        async def load():
+            while True:
+                await self.mesh.ask(headers=[(names.key, _KEY)])
+
+        loading = asyncio.ensure_future(load())
+        table = self.mesh.nodes[1]._cost_table
+        try:
+            await self.mesh.until(
+                lambda: set(table.of("s", "own")) == {"s", "t"})
+        finally:
+            loading.cancel()
+
+    async def test_full_below(self):
+        """A request is refused unrun with a time, a nested call is not."""
+        await self._start()
+        node = self.mesh.nodes[0]
+        for row in self.mesh.nodes:
+            row._cost_table._by_name["s", "own"] = {"s": 0.1, "t": 0.1}
+        patch = mock.patch.object(routing.Router,
+                                  "part_by_service",
+                                  return_value={"t": 0.0})
+        patch.start()
+        self.addCleanup(patch.stop)
+        names = mesh_fleet.NAMES
+        found = [
+            await self.mesh.ask(headers=[(names.key, _KEY)]) for _ in range(60)
+        ]
+        refused = [head for status, head, _ in found if status == 503]
+        # Some go through to show when there is room again.
+        self.assertGreater(len(refused), 40)
+        self.assertLess(len(refused), 60)
+        for head in refused:
+            after_s = float(mesh_fleet.field(head, b"retry-after"))
+            self.assertLessEqual(after_s, 6.0)
+            self.assertGreater(after_s, 0.0)
+        self.assertEqual(len(self._heads()), 60 - len(refused))
+        for _ in range(5):
+            self.assertEqual((await self.mesh.ask(path="/b/1"))[0], 200)
+        self.assertEqual(node.dump().parts, {"t": 0.0})
