Let nodes without a leader go on at the rate that they had

Ruled out: a shorter election (0.87 s of 1.5 s), larger stocks (a saturated window has none to spare). Change: a spent token stays its node's until the node gives it up, a window later by its own clock. Without a leader the node spends it once more. The leader counts what a node holds and has spent until it gives it up; of a lost node for the lease and a window, of an ended process for a window. Conclusion: recycling needs no agreement on clocks.

--- a/src/apricothinge/link/frames.py
+++ b/src/apricothinge/link/frames.py
@@ -234,14 +234,14 @@
         row: The node.
         revision: The desired state that it has, -1 for none.
         stock: Tokens that it holds, by organisation.
-        recent: Tokens that it spent within the last window, by age.
+        recent: Tokens that it has spent and not given up yet.
         peers: Names of the nodes that it knows.
     """
 
     row: Row
     revision: int
     stock: dict[str, int]
-    recent: dict[str, list[int]]
+    recent: dict[str, int]
     peers: list[str]
 
 
@@ -273,7 +273,7 @@
     sequence: int
     row: Row | None
     revision: int
-    tokens: dict[str, tuple[int, int, float]]
+    tokens: dict[str, tuple[int, int, int, float]]
     crashes: list[tuple[str, str]]
 
 
--- a/src/apricothinge/mesh/attachment.py
+++ b/src/apricothinge/mesh/attachment.py
@@ -51,7 +51,7 @@
         self._updated_at = 0.0
         self._sequence = 0
         self._told_row: frames.Row | None = None
-        self._told_tokens: dict[str, tuple[int, int, float]] = {}
+        self._told_tokens: dict[str, tuple[int, int, int, float]] = {}
         self._ask_by_name: dict[str, asyncio.Future[None]] = {}
         self._leader_hint = ""
         self._sent_at_by_sequence: dict[int, float] = {}
@@ -123,7 +123,7 @@
             stock.attach()
             link.send(
                 frames.Attach(self._told_row, self._state.revision,
-                              stock.stock(), stock.recent(opened_at),
+                              stock.stock(), stock.recent(),
                               list(self._peers.by_instance)))
             while not link.closed:
                 self._state.changed.clear()
@@ -152,7 +152,7 @@
         changed = {
             name: found
             for name, found in counts.items()
-            if found != self._told_tokens.get(name, (0, 0, 0.0))
+            if found != self._told_tokens.get(name, (0, 0, 0, 0.0))
         }
         self._told_tokens = counts
         crashes = self._state.crashes
--- a/src/apricothinge/mesh/hub.py
+++ b/src/apricothinge/mesh/hub.py
@@ -172,8 +172,9 @@
         attached = self._attached_by_link.pop(link, None)
         if attached is None:
             return
-        self._tokens.detached(attached.instance)
         listed = self._listed_by_instance.get(attached.instance)
+        self._tokens.detached(tokens.boot_s(), attached.instance,
+                              listed is not None and listed.row.leaving)
         if listed is not None:
             listed.lost_at = self._loop.time()
 
@@ -213,15 +214,18 @@
         """Sends updates to the nodes that lack something."""
         settled = self._loop.time() - self._started_at >= _SETTLED_S
         for link, attached in list(self._attached_by_link.items()):
-            if (not attached.due and
-                    attached.revision >= self._machine.revision):
+            if not attached.due and not self._lacks_state(attached):
                 continue
             attached.due = False
             link.send(self._update(attached, settled))
 
+    def _lacks_state(self, attached: _Attached) -> bool:
+        # Revision 0 is the time before the first desired state.
+        return 0 < self._machine.revision > attached.revision
+
     def _update(self, attached: _Attached, settled: bool) -> frames.Update:
         document = None
-        if attached.revision < self._machine.revision:
+        if self._lacks_state(attached):
             document = self._machine.document
             attached.revision = self._machine.revision
         complete = settled and not attached.complete
--- a/src/apricothinge/mesh/token_server.py
+++ b/src/apricothinge/mesh/token_server.py
@@ -1,6 +1,5 @@
 """Hands out the tokens of the organisations' rates, at the leader."""
 
-import math
 from typing import Final
 
 from apricothinge.mesh import tokens
@@ -10,10 +9,12 @@
 # Of what is free, this part is divided evenly: demand moves faster than
 # reports of it.
 _EVEN_PART: Final = 0.4
-# No node holds more than this many even shares of a window, which bounds what
-# an unknown one may hold.
+# No node has more than this many even shares of a window in stock.
 _LARGEST_SHARES: Final = 2.0
 _SMALLEST_CAP: Final = 2
+# What a node that a new leader has not heard of goes on to spend, in even
+# shares of a window: demand is divided nearly evenly.
+_UNKNOWN_SHARES: Final = 1.25
 # Known nodes attach to a new leader within this time.
 _GATHER_S: Final = 0.6
 # A node that has just started knows nothing of what its process before has
@@ -26,19 +27,28 @@
 
     Attributes:
         outstanding: Tokens handed out and neither spent nor returned.
+        recent: Tokens spent and not given up yet.
         spent: As last reported.
+        aged: As last reported.
         returned: As last reported.
         demand: Requests per second.
     """
 
-    __slots__ = ("outstanding", "spent", "returned", "demand")
+    __slots__ = ("outstanding", "recent", "spent", "aged", "returned", "demand")
 
-    def __init__(self, outstanding: int) -> None:
+    def __init__(self, outstanding: int, recent: int) -> None:
         self.outstanding = outstanding
+        self.recent = recent
         self.spent = 0
+        self.aged = 0
         self.returned = 0
         self.demand = 0.0
 
+    @property
+    def held(self) -> int:
+        """Tokens that the node may have in the window, now or later."""
+        return max(0, self.outstanding + self.recent)
+
 
 class _Node:
     """One node.
@@ -62,25 +72,26 @@
         """Returns what is known of an organisation."""
         found = self.holder_by_name.get(name)
         if found is None:
-            found = self.holder_by_name[name] = _Holder(0)
+            found = self.holder_by_name[name] = _Holder(0, 0)
         return found
 
 
 class TokenServer:
     """Keeps the tokens spent within any window, and those handed out, bounded.
 
-    A token is counted from the moment at which it is handed out until a window
-    after its spending was reported. Reports come later than what they report,
-    so the count is never too low.
+    A token is counted as its node's from the moment at which it is handed out
+    until the node gives it up, a window after it was spent. No clock but the
+    node's decides that, so the count is never too low, however late reports
+    are. What a node that is gone may have spent counts for a window more.
     """
 
-    __slots__ = ("_window_by_name", "_spent_by_name", "_node_by_instance",
+    __slots__ = ("_window_by_name", "_ghosts_by_name", "_node_by_instance",
                  "_expected", "_started_at", "_forgotten")
 
     def __init__(self, now: float) -> None:
         """Starts with the leadership; `now` counts during suspension."""
         self._window_by_name: dict[str, float] = {}
-        self._spent_by_name: dict[str, dict[int, int]] = {}
+        self._ghosts_by_name: dict[str, list[tuple[float, int]]] = {}
         self._node_by_instance: dict[str, _Node] = {}
         self._expected: set[str] = set()
         self._forgotten: set[str] = set()
@@ -91,7 +102,7 @@
         self._window_by_name = window_by_name
 
     def attach(self, now: float, instance: str, incarnation: int,
-               stock: dict[str, int], recent: dict[str, list[int]],
+               stock: dict[str, int], recent: dict[str, int],
                peers: list[str]) -> None:
         """Takes in a node.
 
@@ -100,76 +111,84 @@
             instance: Its name.
             incarnation: Of its process; one before has ended.
             stock: Tokens that it holds, by organisation.
-            recent: Tokens that it has spent in the last window, by age in
-                slots of `tokens.SLOT_S`.
+            recent: Tokens that it has spent and not given up yet.
             peers: Nodes that it knows; they may hold tokens as well.
         """
         known = self._node_by_instance.get(instance)
+        if known is not None and known.incarnation != incarnation:
+            self._end(now, known)
         node = _Node(incarnation, now)
         self._node_by_instance[instance] = node
-        for name, count in stock.items():
-            node.holder_by_name[name] = _Holder(count)
-        if known is None:
-            for name, counts in recent.items():
-                for age, count in enumerate(counts):
-                    self._spend(now - age * tokens.SLOT_S, name, count)
-        elif known.incarnation == incarnation:
-            # Spent while it was not attached: what it held and holds no more.
-            for name, holder in known.holder_by_name.items():
-                gone = holder.outstanding - stock.get(name, 0)
-                if gone > 0:
-                    self._spend(now, name, gone)
-        else:
-            for name, holder in known.holder_by_name.items():
-                self._spend(now, name, holder.outstanding)
+        for name in stock.keys() | recent.keys():
+            node.holder_by_name[name] = _Holder(stock.get(name, 0),
+                                                recent.get(name, 0))
         if now - self._started_at < tokens.LEASE_S:
             self._expected.update(peers)
             if known is None and not peers:
                 self._forgotten.add(instance)
 
-    def detached(self, instance: str) -> None:
-        """Takes in that a node can not be given anything now."""
-        node = self._node_by_instance.get(instance)
-        if node is not None:
-            node.attached = False
+    def detached(self, now: float, instance: str, ended: bool) -> None:
+        """Takes in that a node can not be given anything now.
 
-    def _spend(self, now: float, name: str, count: int) -> None:
-        if count <= 0:
+        Args:
+            now: Time in seconds.
+            instance: Its name.
+            ended: Whether its process was about to end.
+        """
+        node = self._node_by_instance.get(instance)
+        if node is None:
             return
-        slots = self._spent_by_name.setdefault(name, {})
-        slot = math.ceil(now / tokens.SLOT_S)
-        slots[slot] = slots.get(slot, 0) + count
+        node.attached = False
+        if ended:
+            self._end(now, node)
+            del self._node_by_instance[instance]
+
+    def _end(self, now: float, node: _Node) -> None:
+        """Keeps what a process may have spent until it has left the window."""
+        for name, holder in node.holder_by_name.items():
+            if holder.held:
+                self._ghosts_by_name.setdefault(name, []).append(
+                    (now + tokens.WINDOW_S, holder.held))
 
     def report(self, now: float, instance: str,
-               counts: dict[str, tuple[int, int, float]]) -> None:
-        """Takes in what a node has spent and returned since it attached."""
+               counts: dict[str, tuple[int, int, int, float]]) -> None:
+        """Takes in what a node has done with tokens since it attached.
+
+        Args:
+            now: Time in seconds.
+            instance: Its name.
+            counts: As of `tokens.Stock.counts`.
+        """
         node = self._node_by_instance.get(instance)
         if node is None:
             return
         node.heard_at = now
-        for name, (spent, returned, demand) in counts.items():
+        for name, (spent, aged, returned, demand) in counts.items():
             holder = node.holder(name)
             more = spent - holder.spent
             holder.outstanding -= more + (returned - holder.returned)
+            holder.recent += more - (aged - holder.aged)
             holder.spent = spent
+            holder.aged = aged
             holder.returned = returned
             holder.demand = demand
-            if more > 0:
-                self._spend(now, name, more)
 
     def expire(self, now: float) -> None:
-        """Forgets nodes whose leases are over, and old spending."""
+        """Forgets nodes and processes that can not have spent lately."""
         for instance, node in list(self._node_by_instance.items()):
-            if not node.attached and now - node.heard_at > tokens.LEASE_S:
+            if not node.attached and (now - node.heard_at
+                                      > tokens.LEASE_S + tokens.WINDOW_S):
                 del self._node_by_instance[instance]
-        oldest = math.floor((now - tokens.WINDOW_S) / tokens.SLOT_S)
-        for slots in self._spent_by_name.values():
-            for slot in [slot for slot in slots if slot < oldest]:
-                del slots[slot]
+        for name, ghosts in list(self._ghosts_by_name.items()):
+            left = [row for row in ghosts if row[0] > now]
+            if left:
+                self._ghosts_by_name[name] = left
+            else:
+                del self._ghosts_by_name[name]
 
     def _unknown(self, now: float) -> int:
         """Nodes that may hold tokens of the leader before."""
-        if now - self._started_at > tokens.LEASE_S:
+        if now - self._started_at > tokens.LEASE_S + tokens.WINDOW_S:
             return 0
         return len(self._expected - set(self._node_by_instance))
 
@@ -186,15 +205,18 @@
         count = max(1, len(self._node_by_instance))
         return max(_SMALLEST_CAP, _LARGEST_SHARES * window / count)
 
+    def _unknown_part(self, window: float) -> float:
+        count = max(1, len(self._expected | set(self._node_by_instance)))
+        return max(_SMALLEST_CAP, _UNKNOWN_SHARES * window / count)
+
     def _free(self, now: float, name: str, window: float) -> float:
-        held = sum(
-            max(0, node.holder_by_name[name].outstanding)
-            for node in self._node_by_instance.values()
-            if name in node.holder_by_name)
-        reserved = (self._unknown(now) * self._cap(window) +
+        held = sum(node.holder_by_name[name].held
+                   for node in self._node_by_instance.values()
+                   if name in node.holder_by_name)
+        ghosts = sum(count for _, count in self._ghosts_by_name.get(name, ()))
+        reserved = (self._unknown(now) * self._unknown_part(window) +
                     self._unreported(now, window))
-        spent = sum(self._spent_by_name.get(name, {}).values())
-        return window - spent - held - reserved
+        return window - held - ghosts - reserved
 
     def grant(self, now: float) -> dict[str, dict[str, int]]:
         """Decides who gets tokens now.
--- a/src/apricothinge/mesh/tokens.py
+++ b/src/apricothinge/mesh/tokens.py
@@ -3,9 +3,12 @@
 Answers small rates over many nodes: a part of a rate that is fixed for a node
 is refused to requests that come by chance in twos and threes, while the fleet
 as a whole is far from its limit. Tokens are therefore handed out by one server,
-ahead of demand, and counted against a sliding window when they are spent.
+ahead of demand. A token that was spent stays with its node until it has left
+the sliding window. A node that has lost its server then spends it once more,
+so it goes on at the rate that it had; one with a server gives it up.
 """
 
+import collections
 import math
 import time
 from typing import Final
@@ -13,12 +16,10 @@
 from apricothinge.mesh import documents
 from apricothinge.rates import gate
 
-__all__ = ["LEASE_S", "SLOT_S", "Stock", "WINDOW_S", "boot_s", "window_tokens"]
+__all__ = ["LEASE_S", "Stock", "WINDOW_S", "boot_s", "window_tokens"]
 
 # The span over which a rate and its burst are counted.
 WINDOW_S: Final = 5.0
-# Ages of spent tokens are told, and forgotten, in steps of this.
-SLOT_S: Final = 0.25
 # Longer than the cuts that occur often, and short enough that what a lost
 # node held is soon used by others.
 LEASE_S: Final = 10.0
@@ -50,6 +51,7 @@
     Attributes:
         stock: Tokens at hand.
         spent: Tokens spent since the node attached.
+        aged: Spent tokens that left the window since the node attached.
         returned: Tokens given up unspent since the node attached.
         arrived: Requests since the last look.
         demand: Smoothed requests per second.
@@ -58,18 +60,19 @@
         recent: Times in seconds at which tokens were spent, oldest first.
     """
 
-    __slots__ = ("stock", "spent", "returned", "arrived", "demand", "window",
-                 "cut_off", "recent")
+    __slots__ = ("stock", "spent", "aged", "returned", "arrived", "demand",
+                 "window", "cut_off", "recent")
 
     def __init__(self, now: float) -> None:
         self.stock = 0
         self.spent = 0
+        self.aged = 0
         self.returned = 0
         self.arrived = 0
         self.demand = 0.0
         self.window = 0.0
         self.cut_off = gate.Bucket(0.0, 1.0, 1.0, now)
-        self.recent: list[float] = []
+        self.recent: collections.deque[float] = collections.deque()
 
 
 class Stock:
@@ -100,6 +103,7 @@
         """Begins to count anew for another server."""
         for row in self._row_by_name.values():
             row.spent = 0
+            row.aged = 0
             row.returned = 0
 
     def renew(self, reported_at: float) -> None:
@@ -124,27 +128,21 @@
             if row.stock
         }
 
-    def recent(self, now: float) -> dict[str, list[int]]:
-        """Tokens spent within the last window by organisation.
+    def recent(self) -> dict[str, int]:
+        """Tokens spent lately that were not given up yet, by organisation."""
+        return {
+            name: len(row.recent)
+            for name, row in self._row_by_name.items()
+            if row.recent
+        }
+
+    def counts(self) -> dict[str, tuple[int, int, int, float]]:
+        """Tokens spent, given up after a window, and returned unspent, and
 
-        Returns:
-            For each, counts by age in slots of `SLOT_S`, the youngest first.
+        the demand a second, by organisation.
         """
-        found = {}
-        for name, row in self._row_by_name.items():
-            self._forget(row, now)
-            if not row.recent:
-                continue
-            slots = [0] * (int(WINDOW_S / SLOT_S) + 1)
-            for spent_at in row.recent:
-                slots[int(max(0.0, now - spent_at) / SLOT_S)] += 1
-            found[name] = slots
-        return found
-
-    def counts(self) -> dict[str, tuple[int, int, float]]:
-        """Tokens spent and returned, and demand a second, by organisation."""
         return {
-            name: (row.spent, row.returned, round(row.demand, 1))
+            name: (row.spent, row.aged, row.returned, round(row.demand, 1))
             for name, row in self._row_by_name.items()
         }
 
@@ -159,9 +157,17 @@
     # Requests.
 
     @staticmethod
-    def _forget(row: _Row, now: float) -> None:
+    def _leave_window(row: _Row, now: float, attached: bool) -> None:
+        """Gives up what has left the window, or takes it into stock again."""
         while row.recent and now - row.recent[0] > WINDOW_S:
-            row.recent.pop(0)
+            row.recent.popleft()
+            if attached:
+                row.aged += 1
+            else:
+                # Nobody else was given it: the server counts it as held here
+                # until it is told otherwise, or the lease is long over.
+                row.spent -= 1
+                row.stock += 1
 
     def tick(self, now: float, compiled: documents.Compiled | None,
              attached: bool) -> None:
@@ -184,6 +190,7 @@
             row = self._row(now, name)
             row.demand += gain * (row.arrived / span_s - row.demand)
             row.arrived = 0
+            self._leave_window(row, now, attached)
             self._resize(row, _whole_window(organisation))
             part = _CUT_OFF_PART * row.window / WINDOW_S / max(1, self.nodes)
             row.cut_off.resize(now, 0.0 if attached else part, 1.0)
@@ -207,6 +214,8 @@
         if organisation.rate_per_s <= 0:
             return True
         row = self._row(now, organisation.name)
+        if not row.stock:
+            self._leave_window(row, now, attached)
         if row.stock and boot_s() < self._lease_until:
             row.stock -= 1
             row.spent += 1
@@ -217,7 +226,7 @@
     def give_back(self, organisation: documents.Organisation) -> None:
         """Returns the token of a request that did not run."""
         row = self._row_by_name.get(organisation.name)
-        if row is not None and row.spent and row.recent:
+        if row is not None and row.recent:
             row.recent.pop()
             row.spent -= 1
             row.stock += 1
--- a/tests/test_mesh_nodes.py
+++ b/tests/test_mesh_nodes.py
@@ -356,6 +356,15 @@
         self.assertEqual(await self.mesh.control.read(), b"version 7")
         await self.mesh.apply(mesh_builders.document(version=8))
 
+    async def test_attached_before_the_first_state(self):
+        """A node keeps its link to control while there is no state yet."""
+        problems = []
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(
+            lambda loop, context: problems.append(context))
+        await self.mesh.start(document=mesh_builders.document())
+        self.assertEqual(problems, [])
+
     async def test_not_ready_without_state(self):
         """A node without a desired state answers 503 and is not ready."""
         await self.mesh.start(services=("s",))
