Spend repeats where they cost one arrival each

A nested call whose answer is lost was repeated one time in a hundred, and each is needed. Ruled out: more repeats at every height: a repeated run repeats all calls below, so four levels at a twentieth pass the fleet's fifth at the last one. Change: one budget a service and node, 0.13 of its requests; repeated runs of routes that lead to h other services 0.045 / (h (h + 1)) at most, which adds up to 0.045 over chains of any depth.

--- a/src/apricothinge/link/frames.py
+++ b/src/apricothinge/link/frames.py
@@ -264,9 +264,9 @@
         sequence: Number of the report.
         row: The node, or None where nothing has changed.
         revision: The desired state in force.
-        tokens: By organisation the tokens spent and returned since it
-            attached, and its demand a second; what has not changed is left
-            out.
+        tokens: By organisation the tokens spent, given up a window later and
+            returned unspent since it attached, and its demand a second; what
+            has not changed is left out.
         crashes: Fingerprints with the crash that they were in flight in.
     """
 
--- a/src/apricothinge/mesh/dispatch.py
+++ b/src/apricothinge/mesh/dispatch.py
@@ -6,10 +6,12 @@
 from apricothinge import errors
 from apricothinge import log
 from apricothinge import metrics
+from apricothinge.link import frames
+from apricothinge.mesh import costs
 from apricothinge.mesh import names
 from apricothinge.mesh import peers
 from apricothinge.mesh import upstream
-from apricothinge.overload import retries
+from apricothinge.overload import repeats
 from apricothinge.overload import routing
 from apricothinge.web import client
 from apricothinge.web import messages
@@ -19,37 +21,11 @@
 # Nodes that refused are asked at most this often in place of others; each
 # costs a round trip, and by then the rest is most likely full as well.
 _PLACEMENTS: Final = 3
-# The fleet may repeat a fifth of the requests for a service. A repeated run
-# also repeats the calls below it, one that was turned away unrun does not.
-_RERUN_RATIO: Final = 0.01
-_RERUN_RESERVE: Final = 1.0
-_RESEND_RATIO: Final = 0.12
-_RESEND_RESERVE: Final = 2.0
 _SMALLEST_LEFT_S: Final = 0.02
 _RETRY_AFTER_S: Final = 0.5
 _FAILED_STATUSES: Final = (500, 502)
 
 
-class _Repeats:
-    """Room for repeats to one service.
-
-    Attributes:
-        reruns: For those that may have run before.
-        resends: For those that an upstream has turned away unrun.
-    """
-
-    __slots__ = ("reruns", "resends")
-
-    def __init__(self) -> None:
-        self.reruns = retries.RatioCap(_RERUN_RATIO, _RERUN_RESERVE)
-        self.resends = retries.RatioCap(_RESEND_RATIO, _RESEND_RESERVE)
-
-    def first_attempt(self) -> None:
-        """Counts a request."""
-        self.reruns.first_attempt()
-        self.resends.first_attempt()
-
-
 class _Outcome:
     """What the last send has come to, where it gave no final answer."""
 
@@ -66,19 +42,16 @@
         """Whether an upstream may have run the request."""
         return self.reached and (self.error is None or not self.error.not_run)
 
-    def room(self, repeats: _Repeats) -> retries.RatioCap:
-        """Returns what a repeat after this is counted in."""
-        return repeats.reruns if self.may_have_run else repeats.resends
-
 
 class Dispatcher:
     """Places requests and repeats those that may be repeated."""
 
     __slots__ = ("_own", "_router", "_peers", "_upstream", "_names", "_metrics",
-                 "_loop", "_repeats_by_service")
+                 "_loop", "_costs", "_budget_by_service")
 
     def __init__(self, own: str, router: routing.Router, table: peers.Peers,
                  local: upstream.LocalUpstream, header_names: names.HeaderNames,
+                 cost_table: costs.CostTable,
                  counts: metrics.NodeMetrics) -> None:
         self._loop = asyncio.get_running_loop()
         self._own = own
@@ -87,7 +60,19 @@
         self._upstream = local
         self._names = header_names
         self._metrics = counts
-        self._repeats_by_service: dict[str, _Repeats] = {}
+        self._costs = cost_table
+        self._budget_by_service: dict[str, repeats.RepeatBudget] = {}
+
+    def _budget(self, service: str) -> repeats.RepeatBudget:
+        found = self._budget_by_service.get(service)
+        if found is None:
+            found = self._budget_by_service[service] = repeats.RepeatBudget()
+        return found
+
+    def _height(self, call: frames.Call) -> int:
+        """Services below that a call leads to."""
+        found = self._costs.of(call.service, call.route)
+        return len(found) - 1 if found else repeats.UNKNOWN_HEIGHT
 
     async def run(self, work: upstream.Work, attempts: int) -> messages.Answer:
         """Gets an answer.
@@ -100,10 +85,9 @@
             errors.CallError: There is none.
         """
         service = work.call.service
-        repeats = self._repeats_by_service.get(service)
-        if repeats is None:
-            repeats = self._repeats_by_service[service] = _Repeats()
-        repeats.first_attempt()
+        budget = self._budget(service)
+        height = self._height(work.call)
+        budget.first_attempt(height)
         tried: set[str] = set()
         placements = 0
         last: _Outcome | None = None
@@ -126,7 +110,7 @@
                 may = (attempts > 0 and work.body.replayable and
                        self._repeatable(work, last) and
                        work.deadline - self._loop.time() > _SMALLEST_LEFT_S and
-                       last.room(repeats).retry())
+                       budget.repeat(height, last.may_have_run))
             else:
                 placements += 1
                 may = placements < _PLACEMENTS and work.body.replayable
--- a/src/apricothinge/mesh/node.py
+++ b/src/apricothinge/mesh/node.py
@@ -138,7 +138,8 @@
                                   self._router, self._cost_table)
         self._dispatcher = dispatch.Dispatcher(node.instance, self._router,
                                                self._peers, self.upstream,
-                                               header_names, self.state.metrics)
+                                               header_names, self._cost_table,
+                                               self.state.metrics)
         self.callers = streams.Callers(self.upstream.run, self.upstream.load)
         self._limits = node.limits
         self._link_server: asyncio.Server | None = None
--- a/src/apricothinge/mesh/tokens.py
+++ b/src/apricothinge/mesh/tokens.py
@@ -137,9 +137,11 @@
         }
 
     def counts(self) -> dict[str, tuple[int, int, int, float]]:
-        """Tokens spent, given up after a window, and returned unspent, and
+        """What the node has done with tokens since it attached.
 
-        the demand a second, by organisation.
+        Returns:
+            By organisation: tokens spent, given up a window later, returned
+            unspent, and the demand a second.
         """
         return {
             name: (row.spent, row.aged, row.returned, round(row.demand, 1))
--- a/src/apricothinge/overload/retries.py
+++ b/src/apricothinge/overload/retries.py
@@ -78,9 +78,14 @@
         self.first_attempts += 1
         self._reserve = min(self._largest, self._reserve + self._ratio)
 
+    @property
+    def has_room(self) -> bool:
+        """Whether there is room for one retry."""
+        return self._reserve >= 1.0
+
     def retry(self) -> bool:
         """Takes room for one retry; False where there is none."""
-        if self._reserve < 1.0:
+        if not self.has_room:
             return False
         self._reserve -= 1.0
         self.retries += 1
--- a/tests/mesh_model.py
+++ b/tests/mesh_model.py
@@ -12,6 +12,7 @@
 from apricothinge.overload import callgraph
 from apricothinge.overload import gate
 from apricothinge.overload import pressure
+from apricothinge.overload import repeats
 
 _TICK_S = 0.02
 _TELL_S = 0.2
@@ -63,6 +64,10 @@
     """A request was refused and has not run."""
 
 
+class Lost(Exception):
+    """An answer was lost after the request had run."""
+
+
 class Failed(Exception):
     """A request failed after it was begun."""
 
@@ -145,9 +150,12 @@
             if not await ticket.owner:
                 raise NoRoom
         started_at = loop.time()
+        self.world.runs[kind.service] += 1
         self.counts.started_or_ended(kind.name)
         try:
             await self._work(kind, until)
+            if self.world.random.random() < self.world.lost_part:
+                raise Lost
         finally:
             held_s = loop.time() - started_at
             self.queue.finished(held_s)
@@ -170,7 +178,7 @@
                     await self.world.call(
                         called, min(until,
                                     loop.time() + called.timeout_s))
-                except NoRoom:
+                except (NoRoom, Lost):
                     raise Failed from None
 
 
@@ -181,12 +189,20 @@
         gated: Whether entries refuse by what is told from below.
         owed: Worth asked for, by kind.
         earned: Worth of what was answered in time, by kind.
-        wasted_s: Slot seconds spent for requests that then failed.
+        lost_part: Part of the answers that are lost on their way.
+        budgets: Makes the budget for repeats of a service at an entry.
+        repeats: Runs again, by service, also below repeated runs.
+        runs: Runs, by service.
     """
 
     def __init__(self, seed, gated, entries=8):
         self.random = random.Random(seed)
         self.gated = gated
+        self.lost_part = 0.0
+        self.budgets = repeats.RepeatBudget
+        self.budget_by_service = {}
+        self.repeats = collections.Counter()
+        self.runs = collections.Counter()
         self.by_service = collections.defaultdict(list)
         self.gates = [
             gate.EntryGate(0.0, random.Random(self.random.random()))
@@ -224,6 +240,13 @@
     async def call(self, kind, until):
         """Places a request; tries three instances."""
         rows = list(self.by_service[kind.service])
+        budget = self.budget_by_service.get(kind.service)
+        if budget is None:
+            budget = self.budget_by_service[kind.service] = self.budgets()
+        costs = self.costs(kind.service, kind.name)
+        height = len(costs) - 1 if costs else repeats.UNKNOWN_HEIGHT
+        budget.first_attempt(height)
+        again = kind.rank in (0, 1)
         for _ in range(min(3, len(rows))):
             picked = self.random.sample(rows, min(2, len(rows)))
             row = min(picked, key=lambda each: each.fullness() / each.speed)
@@ -235,6 +258,11 @@
             except NoRoom:
                 if not rows:
                     break
+            except (Lost, Failed):
+                if again or not budget.repeat(height, True):
+                    raise
+                again = True
+                self.repeats[kind.service] += 1
         raise NoRoom
 
     async def ask(self, kind, counted):
@@ -259,7 +287,7 @@
                     self.refused[kind.name] += counted
                     return
                 await asyncio.sleep(self.random.uniform(0.3, 1.0))
-            except Failed:
+            except (Failed, Lost):
                 self.failed[kind.name] += counted
                 return
         if counted and loop.time() - asked_at <= kind.objective_s:
