Hand out small rates on request; tell loads only when they moved

Each of 92 nodes told 91 others its load five times a second. Ruled out: larger windows (the bound is the users'); pooling by failure domain (a round trip as well, and another owner to lose). Change: under six tokens a node nothing is handed out ahead; a node asks, for as many as wait, up to three times, 0.15 s each; after a no it waits 0.03 s.

--- a/src/apricothinge/link/frames.py
+++ b/src/apricothinge/link/frames.py
@@ -304,9 +304,15 @@
 
 
 class Ask(_Message, tag=20):
-    """A node has run out of an organisation's tokens."""
+    """A node has run out of an organisation's tokens.
+
+    Attributes:
+        name: The organisation.
+        count: Requests that wait for one.
+    """
 
     name: str
+    count: int
 
 
 class Tokens(_Message, tag=21):
--- a/src/apricothinge/mesh/attachment.py
+++ b/src/apricothinge/mesh/attachment.py
@@ -1,6 +1,7 @@
 """A node's link to the leader of control."""
 
 import asyncio
+import collections
 import contextlib
 from typing import Final
 
@@ -21,8 +22,12 @@
 _RETRY_S: Final = 0.1
 _FIRST_UPDATE_S: Final = 1.0
 _SILENCE_S: Final = 2.0
-# Longer than a round trip between failure domains and the leader's turn.
-_ASK_S: Final = 0.04
+# A round trip between failure domains takes some milliseconds. A caller is
+# served better a little late than refused while its organisation has room.
+_ASK_S: Final = 0.15
+# An organisation over its rate would otherwise cost the leader a message for
+# each request that is refused.
+_NO_TOKENS_S: Final = 0.03
 
 
 class Attachment(connection.Receiver):
@@ -35,7 +40,8 @@
     __slots__ = ("attached_to", "_state", "_peers", "_row", "_known",
                  "_sweeper", "_loop", "_task", "_link", "_updated_at",
                  "_sequence", "_told_row", "_told_tokens", "_leader_hint",
-                 "_sent_at_by_sequence", "_ask_by_name")
+                 "_sent_at_by_sequence", "_ask_by_name", "_asking_by_name",
+                 "_no_tokens_until_by_name")
 
     def __init__(self, node_state: state.NodeState, table: peers.Peers,
                  row: "RowSource", seeds: list[str],
@@ -52,7 +58,9 @@
         self._sequence = 0
         self._told_row: frames.Row | None = None
         self._told_tokens: dict[str, tuple[int, int, int, float]] = {}
-        self._ask_by_name: dict[str, asyncio.Future[None]] = {}
+        self._ask_by_name: dict[str, asyncio.Future[bool]] = {}
+        self._asking_by_name: collections.Counter[str] = collections.Counter()
+        self._no_tokens_until_by_name: dict[str, float] = {}
         self._leader_hint = ""
         self._sent_at_by_sequence: dict[int, float] = {}
         self.attached_to = ""
@@ -160,22 +168,35 @@
         return frames.Report(self._sequence, told_row, self._state.revision,
                              changed, told)
 
-    async def ask(self, name: str) -> None:
+    async def ask(self, name: str) -> bool:
         """Asks for an organisation's tokens; returns after the answer.
 
-        It also returns where none comes within a short time.
+        Requests that come while an answer is awaited share it, and ask
+        together once more if it was too little for them.
+
+        Returns:
+            Whether there were any. There may be none left for the caller.
         """
         link = self._link
         if link is None or link.closed or not self.attached_to:
-            return
-        asked = self._ask_by_name.get(name)
-        if asked is None:
-            asked = self._loop.create_future()
-            self._ask_by_name[name] = asked
-            link.send(frames.Ask(name))
-        await asyncio.wait((asked,), timeout=_ASK_S)
-        if not asked.done() and self._ask_by_name.get(name) is asked:
+            return False
+        if self._loop.time() < self._no_tokens_until_by_name.get(name, 0.0):
+            return False
+        self._asking_by_name[name] += 1
+        try:
+            asked = self._ask_by_name.get(name)
+            if asked is None:
+                asked = self._loop.create_future()
+                self._ask_by_name[name] = asked
+                link.send(frames.Ask(name, self._asking_by_name[name]))
+            await asyncio.wait((asked,), timeout=_ASK_S)
+        finally:
+            self._asking_by_name[name] -= 1
+        if asked.done():
+            return asked.result()
+        if self._ask_by_name.get(name) is asked:
             del self._ask_by_name[name]
+        return False
 
     # Receiving.
 
@@ -196,10 +217,13 @@
             return
         if isinstance(message, frames.Tokens):
             self._state.stock.add(message.by_name, self._loop.time())
-            for name in message.by_name:
+            for name, count in message.by_name.items():
                 asked = self._ask_by_name.pop(name, None)
                 if asked is not None and not asked.done():
-                    asked.set_result(None)
+                    asked.set_result(count > 0)
+                if not count:
+                    self._no_tokens_until_by_name[name] = (self._loop.time() +
+                                                           _NO_TOKENS_S)
             return
         if not isinstance(message, frames.Update):
             return
--- a/src/apricothinge/mesh/entry.py
+++ b/src/apricothinge/mesh/entry.py
@@ -35,6 +35,8 @@
 _DRAINING_RETRY_S: Final = 0.2
 # After a start of everything, control leads and nodes attach within this time.
 _STATELESS_RETRY_S: Final = 1.0
+# Requests that share an answer may use up what it brought.
+_ASKS: Final = 3
 # Tokens come back as spending leaves the window, evenly over its span.
 _RATE_RETRY_S: Final = 0.5
 # Loads of other nodes are told five times a second.
@@ -197,8 +199,9 @@
         stock.arrived(now, organisation)
         if stock.take(now, organisation, self._attachment.attached):
             return
-        if self._attachment.attached:
-            await self._attachment.ask(organisation.name)
+        for _ in range(_ASKS):
+            if not await self._attachment.ask(organisation.name):
+                break
             if stock.take(self._loop.time(), organisation, True):
                 return
         raise errors.CallError(errors.Kind.RATE_EXCEEDED,
--- a/src/apricothinge/mesh/hub.py
+++ b/src/apricothinge/mesh/hub.py
@@ -164,7 +164,7 @@
         if attached is None:
             return
         count = self._tokens.ask(tokens.boot_s(), attached.instance,
-                                 message.name)
+                                 message.name, message.count)
         link.send(frames.Tokens({message.name: count}))
 
     def lost(self, link: connection.Link) -> None:
--- a/src/apricothinge/mesh/node.py
+++ b/src/apricothinge/mesh/node.py
@@ -34,6 +34,9 @@
 _BUFFERED_ANSWER_BYTES: Final = 256 << 10
 # Links of other nodes hear of a changed load at most this often.
 _STATUS_TICKS: Final = 10
+# And only of changes larger than this, of the slots or of the part to let in;
+# nodes that call learn the load with each answer.
+_TOLD_PART: Final = 0.1
 # Callers notice that the node is not ready in the third second. What comes
 # later could not be answered before the end, and is refused as not run.
 _LEAVE_AFTER_S: Final = 3.2
@@ -257,13 +260,21 @@
                 for link in self.callers.links:
                     link.send(message)
         if self._ticks % _STATUS_TICKS == 0:
-            load = self.upstream.load()
-            if load != self._told_load:
+            if self._load_moved(self.upstream.load()):
                 self._tell()
         if self._ticks % _EXPIRE_TICKS == 0:
             self._pool.expire(now)
             self.state.crashes.tick(now)
 
+    def _load_moved(self, load: frames.Load) -> bool:
+        """Tells whether other nodes would decide otherwise by a new load."""
+        told = self._told_load
+        if told is None or load.slots != told.slots:
+            return True
+        moved = abs(load.running + load.queued - told.running - told.queued)
+        return (moved > _TOLD_PART * load.slots or
+                abs(load.part - told.part) > _TOLD_PART)
+
     def _note_own_load(self) -> None:
         own = self._router.by_instance.get(self._settings.instance)
         if own is not None:
--- a/src/apricothinge/mesh/token_server.py
+++ b/src/apricothinge/mesh/token_server.py
@@ -15,6 +15,8 @@
 # What a node that a new leader has not heard of goes on to spend, in even
 # shares of a window: demand is divided nearly evenly.
 _UNKNOWN_SHARES: Final = 1.25
+# Tokens of a window for each node from which on they are handed out ahead.
+_SMALLEST_SHARE: Final = 6.0
 # Known nodes attach to a new leader within this time.
 _GATHER_S: Final = 0.6
 # A node that has just started knows nothing of what its process before has
@@ -218,6 +220,11 @@
                     self._unreported(now, window))
         return window - held - ghosts - reserved
 
+    def _hands_out_ahead(self, window: float) -> bool:
+        # A few tokens for each of many nodes would mostly wait where nobody
+        # asks for them, while others run out.
+        return window >= _SMALLEST_SHARE * len(self._node_by_instance)
+
     def grant(self, now: float) -> dict[str, dict[str, int]]:
         """Decides who gets tokens now.
 
@@ -235,6 +242,8 @@
         if not nodes:
             return granted
         for name, window in self._window_by_name.items():
+            if not self._hands_out_ahead(window):
+                continue
             free = self._free(now, name, window)
             if free >= 1:
                 self._divide(name, free, window, nodes, granted)
@@ -270,8 +279,15 @@
             nodes[instance].holder(name).outstanding += given
             granted.setdefault(instance, {})[name] = given
 
-    def ask(self, now: float, instance: str, name: str) -> int:
-        """Decides on a node that has run out; returns the tokens it gets."""
+    def ask(self, now: float, instance: str, name: str, count: int) -> int:
+        """Decides on a node that has run out; returns the tokens it gets.
+
+        Args:
+            now: Time in seconds.
+            instance: The node.
+            name: The organisation.
+            count: Tokens that it needs at once.
+        """
         node = self._node_by_instance.get(instance)
         window = self._window_by_name.get(name)
         if node is None or window is None:
@@ -281,6 +297,9 @@
         free = self._free(now, name, window)
         if free < 1:
             return 0
-        count = max(1, min(int(free / 4), int(self._cap(window) / 2)))
-        node.holder(name).outstanding += count
-        return count
+        ahead = 0
+        if self._hands_out_ahead(window):
+            ahead = min(int(free / 4), int(self._cap(window) / 2))
+        given = min(int(free), max(1, count, ahead))
+        node.holder(name).outstanding += given
+        return given
