--- a/tests/test_mesh_decisions.py
+++ b/tests/test_mesh_decisions.py
@@ -217,7 +217,7 @@
         strategies.lists(strategies.tuples(
             strategies.sampled_from(
                 ("spend", "spend", "spend", "report", "grant", "grant",
-                 "restart", "cut", "meet", "tick")), strategies.integers(0, 3),
+                 "restart", "cut", "meet", "ask")), strategies.integers(0, 3),
             strategies.floats(0.0, 2.0)),
                          max_size=150))
     def test_window(self, steps):
@@ -245,6 +245,9 @@
                         found = int(instance[1])
                         stocks[found].add(row, now)
                         stocks[found].renew(now)
+                elif action == "ask" and attached[place]:
+                    stock.add({"o": server.ask(now, name, "o", 2)}, now)
+                    stock.renew(now)
                 elif action == "spend":
                     if stock.take(now, organisation, attached[place]):
                         times.append(now)
