Bound what learning the calls costs

Found by reading: each route that ever ran and each kind of call was compared once a second; with many routes of a large desired state that would hold the loop for a second and more. Six routes and sixteen kinds of call are compared, the most frequent first: about a millisecond for each kind (test_many_routes).

--- a/src/apricothinge/overload/callgraph.py
+++ b/src/apricothinge/overload/callgraph.py
@@ -1,6 +1,7 @@
 """What a request costs the services below, learned from their calls."""
 
 import collections
+import heapq
 import math
 from typing import Final, TypeVar
 
@@ -14,8 +15,10 @@
 _WINDOW_S: Final = 1.0
 _MEMORY_WINDOWS: Final = 40.0
 _SMALLEST_WINDOWS: Final = 1.9
-# Routes whose runs are compared with the calls, the most frequent first.
-_LARGEST_ROUTES: Final = 12
+# Routes whose runs are compared with the calls, and kinds of calls, the most
+# frequent first. Comparing them takes a millisecond for each kind of call.
+_LARGEST_ROUTES: Final = 6
+_LARGEST_NAMES: Final = 16
 # From this many windows on, routes that explain no calls are left out: those
 # for which the F ratio of the regression is smaller than chance often makes it.
 _PRUNE_WINDOWS: Final = 12.0
@@ -78,6 +81,7 @@
             route: count / 2
             for route, count in self._ran_by_route.most_common(_LARGEST_ROUTES)
         }
+        calls = dict(self._made_by_name.most_common(_LARGEST_NAMES))
         _fade(self._ran, fade)
         _fade(self._made, fade)
         _fade(self._runs, fade)
@@ -87,9 +91,9 @@
             _add(self._ran, first, count)
             for second, other in runs.items():
                 _add(self._runs, (first, second), count * other)
-            for name, made in self._made_by_name.items():
+            for name, made in calls.items():
                 _add(self._mixed, (first, name), count * made)
-        for name, made in self._made_by_name.items():
+        for name, made in calls.items():
             _add(self._made, name, float(made))
             _add(self._squares, name, float(made * made))
         self._ran_by_route.clear()
@@ -101,7 +105,9 @@
         found: dict[str, dict[_Name, float]] = {}
         if self._windows < _SMALLEST_WINDOWS:
             return found
-        for name in self._made:
+        names = heapq.nlargest(_LARGEST_NAMES, self._made,
+                               lambda name: self._made[name])
+        for name in names:
             for route, count in self._explain(name).items():
                 if count >= _SMALLEST_COUNT:
                     found.setdefault(route, {})[name] = count
@@ -109,7 +115,9 @@
 
     def _explain(self, name: _Name) -> dict[str, float]:
         """Divides the calls on a route among the routes that may make them."""
-        routes = [route for route in self._ran if route != name[1]]
+        routes = heapq.nlargest(
+            _LARGEST_ROUTES, (route for route in self._ran if route != name[1]),
+            lambda route: self._ran[route])
         if not routes:
             return {}
         counts = self._fit(routes, name)
@@ -128,7 +136,7 @@
 
     def _unexplained(self, counts: dict[str, float], name: _Name) -> float:
         """Sum of squares of what the counts leave unexplained."""
-        left = self._squares[name]
+        left = self._squares.get(name, 0.0)
         for route, count in counts.items():
             left -= 2.0 * count * self._mixed.get((route, name), 0.0)
             for other, more in counts.items():
--- a/tests/test_entry_gate.py
+++ b/tests/test_entry_gate.py
@@ -91,6 +91,22 @@
         """A route does not explain the calls that are made on it."""
         self.assertEqual(self._learn({"a": {("s", "a"): 1}}), {})
 
+    def test_many_routes(self):
+        """Learning stays short when there are very many routes and calls."""
+        found = callgraph.CallCounts(0.0)
+        for second in range(1, 4):
+            for place in range(5000):
+                found.started_or_ended(f"r{place}")
+                found.called("s", f"c{place}")
+            for _ in range(50):
+                found.started_or_ended("r0")
+                found.started_or_ended("r0")
+                found.called("s", "c0")
+            found.tick(float(second))
+        learned = found.by_route()
+        self.assertLessEqual(sum(map(len, learned.values())), 6 * 16)
+        self.assertIn(("s", "c0"), learned["r0"])
+
     def test_combine(self):
         """Costs add up over the graph, and do not grow without end."""
         costs = {"s": 0.1}
