--- a/src/apricothinge/overload/callgraph.py
+++ b/src/apricothinge/overload/callgraph.py
@@ -171,7 +171,7 @@
                     for other, count in counts.items()
                     if other != route)
                 top = (self._mixed.get(
-                    (route, name), 0.0) - others + weight * alike_count)
+                    (route, name), 0.0) - others + weight * prior[route])
                 counts[route] = max(
                     0.0, top / (self._runs.get((route, route), 0.0) + weight))
             noise = max(self._made[name], self._unexplained(counts, name))
