--- a/src/apricothinge/mesh/entry.py
+++ b/src/apricothinge/mesh/entry.py
@@ -12,15 +12,14 @@
 from apricothinge.mesh import costs
 from apricothinge.mesh import dispatch
 from apricothinge.mesh import documents
+from apricothinge.mesh import room
 from apricothinge.mesh import state
 from apricothinge.mesh import upstream
 from apricothinge.overload import crashes
-from apricothinge.overload import gate
-from apricothinge.overload import routing
 from apricothinge.web import messages
 from apricothinge.web import server
 
-__all__ = ["EntryHandler", "Room"]
+__all__ = ["EntryHandler"]
 
 # Content up to this size can be sent again and names the request.
 _REPLAY_BYTES: Final = 65536
@@ -39,68 +38,9 @@
 _ASKS: Final = 3
 # Tokens come back as spending leaves the window, evenly over its span.
 _RATE_RETRY_S: Final = 0.5
-# Loads of other nodes are told five times a second.
-_PARTS_AGE_S: Final = 0.05
-# Of ten requests of which one is let in, the last has its turn after ten times
-# this, which callers of a few seconds' patience can still wait for.
-_REFUSED_RETRY_S: Final = 0.3
-_SMALLEST_PART: Final = 0.1
-# A service below the first is said to be full, above the second to have room;
-# the space between keeps a load near the limit from filling the log.
-_FULL_BELOW: Final = 0.9
-_ROOM_ABOVE: Final = 0.99
 _OUTSIDE: Final = re.compile(r"(^|/)\.{1,2}(/|$)|%2f|%5c|%2e", re.I)
 
 
-class Room:
-    """Whether the services below have room for a request's tree of calls."""
-
-    __slots__ = ("_loop", "_router", "_costs", "_gate", "_parts", "_parts_at",
-                 "_full")
-
-    def __init__(self, router: routing.Router, table: costs.CostTable,
-                 source: random.Random) -> None:
-        self._loop = asyncio.get_running_loop()
-        self._router = router
-        self._costs = table
-        self._gate = gate.EntryGate(self._loop.time(), source)
-        self._parts: dict[str, float] = {}
-        self._parts_at = 0.0
-        self._full: set[str] = set()
-
-    def _refresh(self, now: float) -> None:
-        """Takes in what the services tell, and logs which are full."""
-        self._parts = self._router.part_by_service()
-        self._parts_at = now
-        for service, part in self._parts.items():
-            if service in self._full:
-                if part > _ROOM_ABOVE:
-                    self._full.remove(service)
-                    log.event("service:has_room", service=service, part=part)
-            elif part < _FULL_BELOW:
-                self._full.add(service)
-                log.event("service:full", service=service, part=round(part, 3))
-
-    def check(self, call: frames.Call) -> None:
-        """Refuses a request for which a service below has no room.
-
-        Raises:
-            errors.CallError: It should come back later.
-        """
-        now = self._loop.time()
-        if now - self._parts_at >= _PARTS_AGE_S:
-            self._refresh(now)
-        part = self._gate.part(now, call.rank,
-                               self._costs.of(call.service, call.route),
-                               self._parts)
-        if self._gate.admits(part):
-            return
-        raise errors.CallError(errors.Kind.OVERLOADED,
-                               f"room for {part:.2f} of such requests",
-                               retry_after_s=_REFUSED_RETRY_S /
-                               max(_SMALLEST_PART, part))
-
-
 class EntryHandler(server.Handler):
     """Turns requests from this machine into calls."""
 
@@ -109,13 +49,13 @@
 
     def __init__(self, node_state: state.NodeState,
                  dispatcher: dispatch.Dispatcher,
-                 attached: attachment.Attachment, room: Room,
+                 attached: attachment.Attachment, below: room.Room,
                  local_costs: costs.LocalCosts, source: random.Random) -> None:
         self._loop = asyncio.get_running_loop()
         self._state = node_state
         self._dispatcher = dispatcher
         self._attachment = attached
-        self._room = room
+        self._room = below
         self._costs = local_costs
         self._random = source
         self._reserved = node_state.names.reserved()
--- a/src/apricothinge/mesh/node.py
+++ b/src/apricothinge/mesh/node.py
@@ -18,6 +18,7 @@
 from apricothinge.mesh import entry
 from apricothinge.mesh import names
 from apricothinge.mesh import peers
+from apricothinge.mesh import room
 from apricothinge.mesh import state
 from apricothinge.mesh import streams
 from apricothinge.mesh import upstream
@@ -158,7 +159,7 @@
         self._caller_server = server.Server(
             entry.EntryHandler(
                 self.state, self._dispatcher, self._attachment,
-                entry.Room(self._router, self._cost_table, source), self._costs,
+                room.Room(self._router, self._cost_table, source), self._costs,
                 source), node.limits)
         self._admin_server = server.Server(
             admin.AdminHandler(self._render_metrics, self.dump), node.limits)
