Do not count content before a head as part of it

Found by reading: a read with the end of a long content and the beginning of the next head could refuse that head as too large (test_head_after_content fails before).

--- a/src/apricothinge/web/wire.py
+++ b/src/apricothinge/web/wire.py
@@ -239,6 +239,8 @@
             return
         if self._error is not None or self._deaf:
             return
+        # What comes before a head in the same read does not belong to it.
+        within_head = self._in_head
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -249,7 +251,7 @@
                     event.keeps = False
         except httptools.HttpParserError as error:
             self._fail(str(error))
-        if self._in_head:
+        if within_head and self._in_head:
             self._head_bytes += len(data)
             if self._head_bytes > self._largest_head:
                 self._fail("the head is too large", too_large=True)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -110,6 +110,14 @@
             found.next_event()
         self.assertTrue(caught.exception.too_large)
 
+    def test_head_after_content(self):
+        """Content in the same read does not count as part of a head."""
+        found = wire.Wire(True, 100)
+        found.receive(b"POST /a HTTP/1.1\r\nhost: h\r\n"
+                      b"content-length: 500\r\n\r\n" + b"x" * 500 + _GET[:9])
+        found.receive(_GET[9:])
+        self.assertEqual(_take(found)[-2:], [(b"GET", b"/b", 0), "end"])
+
     def test_upgrade(self):
         """A wish for another protocol is not followed."""
         found = wire.Wire(True, 65536)
