Go on without a leader until the new one hands out tokens

Change: updates tell whether the leader hands out yet; until then nodes spend again what leaves the window, which the leader has counted as theirs. Found while reading: tokens of a limit that was lowered are not spent again.

--- a/src/apricothinge/link/frames.py
+++ b/src/apricothinge/link/frames.py
@@ -288,6 +288,7 @@
         gone: Names of nodes that have left.
         complete: Whether `rows` are all nodes.
         nodes: How many nodes there are.
+        grants: Whether it hands out tokens yet.
         members: "IP:port" of every member of control.
         crashes: As in Report, from all nodes.
     """
@@ -299,6 +300,7 @@
     gone: list[str]
     complete: bool
     nodes: int
+    grants: bool
     members: list[str]
     crashes: list[tuple[str, str]]
 
--- a/src/apricothinge/mesh/entry.py
+++ b/src/apricothinge/mesh/entry.py
@@ -137,7 +137,7 @@
         now = self._loop.time()
         stock = self._state.stock
         stock.arrived(now, organisation)
-        if stock.take(now, organisation, self._attachment.attached):
+        if stock.take(now, organisation, self._attachment.has_grants):
             return
         for _ in range(_ASKS):
             if not await self._attachment.ask(organisation.name):
--- a/src/apricothinge/mesh/hub.py
+++ b/src/apricothinge/mesh/hub.py
@@ -75,7 +75,7 @@
 
     __slots__ = ("_loop", "_machine", "_members", "_listed_by_instance",
                  "_attached_by_link", "_version", "_started_at", "_tokens",
-                 "_crashes", "_known_crashes", "_granted_at")
+                 "_crashes", "_known_crashes", "_granted_at", "_granting")
 
     def __init__(self, state: machine.MeshMachine,
                  members: Callable[[], list[str]]) -> None:
@@ -90,6 +90,7 @@
         self._crashes: list[tuple[str, str]] = []
         self._known_crashes: set[tuple[str, str]] = set()
         self._granted_at = 0.0
+        self._granting = False
 
     def set_document(self, document: documents.Document) -> None:
         """Takes in whose rates are divided."""
@@ -197,6 +198,9 @@
         if now - self._granted_at >= _GRANT_S:
             self._granted_at = now
             self._grant()
+        if not self._granting and self._tokens.gathered(tokens.boot_s()):
+            self._granting = True
+            self._all_due()
         self.send()
 
     def _grant(self) -> None:
@@ -245,6 +249,7 @@
         attached.crashes = len(self._crashes)
         return frames.Update(attached.echo, self._machine.revision, document,
                              rows, gone, complete, len(self.rows()),
+                             self._tokens.gathered(tokens.boot_s()),
                              self._members(), crashes)
 
     def stop(self, busy: frames.Busy) -> None:
--- a/src/apricothinge/mesh/node.py
+++ b/src/apricothinge/mesh/node.py
@@ -250,7 +250,7 @@
         self.upstream.advance()
         if self._ticks % _SLOW_TICKS == 0:
             self.state.stock.tick(now, self.state.compiled,
-                                  self._attachment.attached)
+                                  self._attachment.has_grants)
             self._peers.tick(now)
             self._router.tick(now)
             self._take_limits()
--- a/src/apricothinge/mesh/token_server.py
+++ b/src/apricothinge/mesh/token_server.py
@@ -220,6 +220,10 @@
                     self._unreported(now, window))
         return window - held - ghosts - reserved
 
+    def gathered(self, now: float) -> bool:
+        """Whether nodes have had time to tell what they hold."""
+        return now - self._started_at >= _GATHER_S
+
     def _hands_out_ahead(self, window: float) -> bool:
         # A few tokens for each of many nodes would mostly wait where nobody
         # asks for them, while others run out.
@@ -232,7 +236,7 @@
             Tokens by organisation, by node.
         """
         granted: dict[str, dict[str, int]] = {}
-        if now - self._started_at < _GATHER_S:
+        if not self.gathered(now):
             return granted
         nodes = {
             instance: node
@@ -292,7 +296,7 @@
         window = self._window_by_name.get(name)
         if node is None or window is None:
             return 0
-        if now - self._started_at < _GATHER_S:
+        if not self.gathered(now):
             return 0
         free = self._free(now, name, window)
         if free < 1:
--- a/src/apricothinge/mesh/tokens.py
+++ b/src/apricothinge/mesh/tokens.py
@@ -58,10 +58,11 @@
         window: Whole tokens of the organisation in a window, as last known.
         cut_off: Tokens for the time without a server.
         recent: Times in seconds at which tokens were spent, oldest first.
+        surplus: How many of those a lowered limit leaves out.
     """
 
     __slots__ = ("stock", "spent", "aged", "returned", "arrived", "demand",
-                 "window", "cut_off", "recent")
+                 "window", "cut_off", "recent", "surplus")
 
     def __init__(self, now: float) -> None:
         self.stock = 0
@@ -73,6 +74,7 @@
         self.window = 0.0
         self.cut_off = gate.Bucket(0.0, 1.0, 1.0, now)
         self.recent: collections.deque[float] = collections.deque()
+        self.surplus = 0
 
 
 class Stock:
@@ -159,12 +161,13 @@
     # Requests.
 
     @staticmethod
-    def _leave_window(row: _Row, now: float, attached: bool) -> None:
+    def _leave_window(row: _Row, now: float, granted: bool) -> None:
         """Gives up what has left the window, or takes it into stock again."""
         while row.recent and now - row.recent[0] > WINDOW_S:
             row.recent.popleft()
-            if attached:
+            if granted or row.surplus:
                 row.aged += 1
+                row.surplus = max(0, row.surplus - 1)
             else:
                 # Nobody else was given it: the server counts it as held here
                 # until it is told otherwise, or the lease is long over.
@@ -172,13 +175,13 @@
                 row.stock += 1
 
     def tick(self, now: float, compiled: documents.Compiled | None,
-             attached: bool) -> None:
+             granted: bool) -> None:
         """Follows demand and the desired state.
 
         Args:
             now: Time in seconds.
             compiled: The desired state in force.
-            attached: Whether a server answers.
+            granted: Whether a server answers and hands out tokens.
         """
         if compiled is None:
             return
@@ -192,10 +195,10 @@
             row = self._row(now, name)
             row.demand += gain * (row.arrived / span_s - row.demand)
             row.arrived = 0
-            self._leave_window(row, now, attached)
+            self._leave_window(row, now, granted)
             self._resize(row, _whole_window(organisation))
             part = _CUT_OFF_PART * row.window / WINDOW_S / max(1, self.nodes)
-            row.cut_off.resize(now, 0.0 if attached else part, 1.0)
+            row.cut_off.resize(now, 0.0 if granted else part, 1.0)
 
     @staticmethod
     def _resize(row: _Row, window: float) -> None:
@@ -204,6 +207,8 @@
             kept = int(row.stock * window / row.window)
             row.returned += row.stock - kept
             row.stock = kept
+            spent = len(row.recent)
+            row.surplus = spent - int(spent * window / row.window)
         row.window = window
 
     def arrived(self, now: float, organisation: documents.Organisation) -> None:
@@ -211,19 +216,19 @@
         self._row(now, organisation.name).arrived += 1
 
     def take(self, now: float, organisation: documents.Organisation,
-             attached: bool) -> bool:
+             granted: bool) -> bool:
         """Spends a token; False where there is none."""
         if organisation.rate_per_s <= 0:
             return True
         row = self._row(now, organisation.name)
         if not row.stock:
-            self._leave_window(row, now, attached)
+            self._leave_window(row, now, granted)
         if row.stock and boot_s() < self._lease_until:
             row.stock -= 1
             row.spent += 1
             row.recent.append(now)
             return True
-        return not attached and row.cut_off.take(now)
+        return not granted and row.cut_off.take(now)
 
     def give_back(self, organisation: documents.Organisation) -> None:
         """Returns the token of a request that did not run."""
--- a/tests/test_mesh_decisions.py
+++ b/tests/test_mesh_decisions.py
@@ -156,6 +156,15 @@
             self.assertGreater(more, 0)
             got += more
 
+    def test_gathers_first(self):
+        """A new leader hands out nothing until it has heard of its nodes."""
+        server = self._server(window=40.0)
+        self.assertFalse(server.gathered(0.2))
+        self.assertEqual(server.ask(0.2, "n0", "o", 1), 0)
+        self.assertEqual(server.grant(0.2), {})
+        self.assertTrue(server.gathered(1.0))
+        self.assertGreater(server.ask(1.0, "n0", "o", 1), 0)
+
     def test_no_tokens_lie_idle(self):
         """A small rate is there for any node of a large fleet.
 
@@ -346,6 +355,23 @@
         self.assertEqual(self.stock.stock(), {"o": 1})
         self.assertEqual(self.stock.counts()["o"][2], 9)
 
+    def test_lowered_limit_without_a_server(self):
+        """Tokens of the limit before are not spent a second time."""
+        organisation = mesh_builders.organisation(rate_per_s=10.0, burst=0.0)
+        lower = mesh_builders.organisation(rate_per_s=2.0, burst=0.0)
+        compiled = [
+            documents.Compiled(revision,
+                               mesh_builders.document(organisations=[row]))
+            for revision, row in ((1, organisation), (2, lower))
+        ]
+        self.stock.tick(0.1, compiled[0], True)
+        self.stock.add({"o": 10}, 0.1)
+        for _ in range(10):
+            self.assertTrue(self.stock.take(0.2, organisation, True))
+        self.stock.tick(0.3, compiled[1], False)
+        self.stock.tick(6.0, compiled[1], False)
+        self.assertEqual(self.stock.stock(), {"o": 2})
+
     def test_given_back(self):
         """A request that did not run leaves its token."""
         self.stock.add({"o": 1}, 0.0)
