--- a/src/apricothinge/mesh/entry.py
+++ b/src/apricothinge/mesh/entry.py
@@ -97,8 +97,9 @@
         limit = compiled.document.limits.body_bytes
         if body.length is not None and body.length > limit:
             raise errors.CallError(errors.Kind.CONTENT_TOO_LARGE)
-        if organisation is not None and not route.anonymous:
-            await self._charge(organisation)
+        charged = None if route.anonymous else organisation
+        if charged is not None:
+            await self._charge(charged)
         try:
             await body.fill(_REPLAY_BYTES)
             if self._state.compiled is not compiled:
@@ -120,8 +121,8 @@
                 self._room.check(work.call)
             return await self._run(route, work)
         except errors.CallError as error:
-            if error.not_run and organisation is not None:
-                self._state.stock.give_back(organisation)
+            if error.not_run and charged is not None:
+                self._state.stock.give_back(charged)
             raise
 
     def _in_force(self) -> documents.Compiled:
--- a/tests/test_mesh_nodes.py
+++ b/tests/test_mesh_nodes.py
@@ -426,6 +426,32 @@
         self.assertEqual((await self.mesh.ask(path="/a/good"))[0], 200)
 
 
+class OpenRouteTest(MeshTest):
+    """Routes that need no key."""
+
+    async def test_refusal_gives_nothing_back(self):
+        """A request that cost no token returns none when it is refused."""
+        await self.mesh.start(document=mesh_builders.document(
+            routes=[
+                mesh_builders.route("own"),
+                mesh_builders.route(
+                    "open", path_prefix="/b/", service="nobody", anonymous=True)
+            ],
+            organisations=[
+                mesh_builders.organisation(
+                    keys=[_KEY.decode()], rate_per_s=100.0, burst=100.0)
+            ]))
+        stock = self.mesh.nodes[0].state.stock
+        await self.mesh.until(stock.stock)
+        headers = [(mesh_fleet.NAMES.key, _KEY)]
+        self.assertEqual((await self.mesh.ask(headers=headers))[0], 200)
+        spent = stock.recent()
+        self.assertEqual(spent, {"o": 1})
+        status, _, _ = await self.mesh.ask(path="/b/1", headers=headers)
+        self.assertEqual(status, 503)
+        self.assertEqual(stock.recent(), spent)
+
+
 class EarlyRefusalTest(MeshTest):
     """What leads to a full service is refused at the entry."""
 
