Let the model play with the product's own costs

The model had its own copy of how holds are smoothed and costs added up, a second slower at each service than mesh/costs.py. LocalCosts takes the time as an argument now, as the other decisions do, and the model runs it; the loop on virtual time has a module of its own, and members of control a builder. No program behaves differently.

--- a/src/apricothinge/mesh/costs.py
+++ b/src/apricothinge/mesh/costs.py
@@ -1,6 +1,5 @@
 """What requests cost the services below, as all nodes tell one another."""
 
-import asyncio
 from typing import Final
 
 from apricothinge.link import frames
@@ -41,7 +40,7 @@
 
     Attributes:
         hold_s: Smoothed seconds, with the time of nested calls.
-        seen_at: Loop time of the last run.
+        seen_at: Time in seconds of the last run.
     """
 
     __slots__ = ("hold_s", "seen_at")
@@ -54,13 +53,11 @@
 class LocalCosts:
     """Learns what the routes cost that run on the upstream of this node."""
 
-    __slots__ = ("_loop", "_table", "_counts", "_held_by_route", "_told",
-                 "service")
+    __slots__ = ("_table", "_counts", "_held_by_route", "_told", "service")
 
-    def __init__(self, table: CostTable) -> None:
-        self._loop = asyncio.get_running_loop()
+    def __init__(self, table: CostTable, now: float) -> None:
         self._table = table
-        self._counts = callgraph.CallCounts(self._loop.time())
+        self._counts = callgraph.CallCounts(now)
         self._held_by_route: dict[str, _Held] = {}
         self._told: dict[str, callgraph.Costs] = {}
         self.service = ""
@@ -69,10 +66,9 @@
         """Takes in that the upstream begins a run."""
         self._counts.started_or_ended(route)
 
-    def ended(self, route: str, held_s: float) -> None:
+    def ended(self, now: float, route: str, held_s: float) -> None:
         """Takes in that a run has held a slot for some seconds."""
         self._counts.started_or_ended(route)
-        now = self._loop.time()
         found = self._held_by_route.get(route)
         if found is not None:
             found.hold_s += _HOLD_GAIN * (held_s - found.hold_s)
@@ -93,9 +89,8 @@
         """What the other nodes are told."""
         return frames.Costs(self.service, self._told)
 
-    def tick(self) -> bool:
+    def tick(self, now: float) -> bool:
         """Adds up costs once a second; tells whether any has changed."""
-        now = self._loop.time()
         if not self._counts.tick(now) or not self._counts.settled:
             # A route whose calls are not known yet must not look like one
             # that makes none: its runs would be repeated too often.
--- a/src/apricothinge/mesh/node.py
+++ b/src/apricothinge/mesh/node.py
@@ -130,7 +130,7 @@
         incarnation = time.time_ns() // 1000
         self.state = state.NodeState(header_names, node.service)
         self._cost_table = costs.CostTable()
-        self._costs = costs.LocalCosts(self._cost_table)
+        self._costs = costs.LocalCosts(self._cost_table, self._loop.time())
         self._pool = client.Pool(_BUFFERED_ANSWER_BYTES, unframed=True)
         self.upstream = upstream.LocalUpstream(
             settings.parse_address(node.upstream), header_names, self._pool,
@@ -249,7 +249,7 @@
             self._take_limits()
             self.upstream.measure(self._router.part(self.upstream.service))
             self._note_own_load()
-            if self._costs.tick():
+            if self._costs.tick(now):
                 message = self._costs.message()
                 for link in self.callers.links:
                     link.send(message)
--- a/src/apricothinge/mesh/upstream.py
+++ b/src/apricothinge/mesh/upstream.py
@@ -241,8 +241,9 @@
               arrived_at: float, started_at: float) -> None:
         """Counts and logs what became of a request that was sent."""
         call = work.call
-        held_s = self._loop.time() - started_at
-        self._costs.ended(call.route, held_s)
+        now = self._loop.time()
+        held_s = now - started_at
+        self._costs.ended(now, call.route, held_s)
         labels = (call.service, str(call.rank))
         self._metrics.queue_delay.labels(*labels).observe(started_at -
                                                           arrived_at)
--- a/tests/mesh_builders.py
+++ b/tests/mesh_builders.py
@@ -89,6 +89,14 @@
     return raft_messages.Member(settings.Address(host, 7000), "a", voter)
 
 
+def members(voters="abc", learners=""):
+    """Members of control by name, each on a machine of its own."""
+    return {
+        name: member(f"10.0.0.{place + 1}", name in voters)
+        for place, name in enumerate(voters + learners)
+    }
+
+
 def state_text(version="r1", routes=None, **more):
     """A desired state as the platform's operator sends it."""
     columns = [
--- a/tests/mesh_model.py
+++ b/tests/mesh_model.py
@@ -8,31 +8,15 @@
 import collections
 import random
 
+from apricothinge.mesh import costs
 from apricothinge.mesh import waiting
-from apricothinge.overload import callgraph
 from apricothinge.overload import gate
 from apricothinge.overload import pressure
 from apricothinge.overload import repeats
+from tests import virtual_time
 
 _TICK_S = 0.02
 _TELL_S = 0.2
-_COSTS_S = 1.0
-
-
-class VirtualLoop(asyncio.SelectorEventLoop):
-    """Jumps to the next timer in place of waiting for it."""
-
-    def __init__(self):
-        super().__init__()
-        self._now = 0.0
-
-    def time(self):
-        return self._now
-
-    def _run_once(self):
-        if not self._ready and self._scheduled:
-            self._now = max(self._now, self._scheduled[0].when())
-        super()._run_once()
 
 
 class Kind:
@@ -82,9 +66,8 @@
         self.queue = waiting.Queue()
         self.queue.slots = slots
         self.pressure = pressure.Pressure(0.0)
-        self.counts = callgraph.CallCounts(0.0)
-        self.hold_s_by_route = {}
-        self.costs_by_route = {}
+        self.costs = costs.LocalCosts(world.costs, 0.0)
+        self.costs.service = service
         self.told_part = 1.0
         self.told_fullness = 0.0
         self.sent_since = 0
@@ -109,21 +92,7 @@
         self.start_waiting()
         self.pressure.tick(now, queue.queued, queue.limit,
                            self.world.parts()[self.service])
-        self.counts.tick(now)
-
-    def learn_costs(self):
-        """Adds up what the routes that run here cost."""
-        if not self.counts.settled:
-            return
-        calls_by_route = self.counts.by_route()
-        self.costs_by_route = {
-            route:
-                callgraph.combine(
-                    {self.service: hold_s},
-                    [(count, self.world.costs(*name))
-                     for name, count in calls_by_route.get(route, {}).items()])
-            for route, hold_s in self.hold_s_by_route.items()
-        }
+        self.costs.tick(now)
 
     def start_waiting(self):
         """Starts what has room."""
@@ -137,7 +106,7 @@
         """Runs a request with its calls, which are repeats if it is one."""
         loop = asyncio.get_running_loop()
         now = loop.time()
-        hold_s = self.hold_s_by_route.get(kind.name, self.queue.hold_s)
+        hold_s = self.costs.hold_s(kind.name, self.queue.hold_s)
         self.pressure.offered(hold_s)
         ticket = waiting.Ticket(
             kind.rank, now + waiting.Queue.patience_s(
@@ -153,7 +122,7 @@
                 raise NoRoom
         started_at = loop.time()
         self.world.runs[kind.service] += 1
-        self.counts.started_or_ended(kind.name)
+        self.costs.started(kind.name)
         try:
             await self._work(kind, until, repeated)
             if self.world.random.random() < self.world.lost_part:
@@ -161,9 +130,7 @@
         finally:
             held_s = loop.time() - started_at
             self.queue.finished(held_s)
-            self.counts.started_or_ended(kind.name)
-            known = self.hold_s_by_route.get(kind.name, held_s)
-            self.hold_s_by_route[kind.name] = known + 0.05 * (held_s - known)
+            self.costs.ended(loop.time(), kind.name, held_s)
             self.start_waiting()
 
     async def _work(self, kind, until, repeated):
@@ -175,7 +142,7 @@
         await asyncio.sleep(work_s)
         for called, count in kind.calls:
             for _ in range(count):
-                self.counts.called(called.service, called.name)
+                self.costs.called(called.service, called.name)
                 try:
                     await self.world.call(
                         called, min(until,
@@ -195,6 +162,7 @@
         failed: Those that ended otherwise, by kind.
         worth_asked: Worth of all requests.
         worth_earned: Worth of those served.
+        costs: What requests cost, as the nodes have told.
         lost_part: Part of the answers that are lost on their way.
         budgets: Makes the budget for repeats of a service at an entry.
         repeats: Repeats by service, with the calls of repeated runs.
@@ -210,6 +178,7 @@
         self.repeats = collections.Counter()
         self.runs = collections.Counter()
         self.by_service = collections.defaultdict(list)
+        self.costs = costs.CostTable()
         self.gates = [
             gate.EntryGate(0.0, random.Random(self.random.random()))
             for _ in range(entries)
@@ -227,14 +196,6 @@
             self.by_service[service].append(
                 Instance(self, service, slots, speed))
 
-    def costs(self, service, route):
-        """What a request on a route costs, as the others were told."""
-        for row in self.by_service[service]:
-            found = row.costs_by_route.get(route)
-            if found is not None:
-                return found
-        return {}
-
     def parts(self):
         """Part of its demand that each service can take."""
         return {
@@ -249,8 +210,8 @@
         budget = self.budget_by_service.get(kind.service)
         if budget is None:
             budget = self.budget_by_service[kind.service] = self.budgets()
-        costs = self.costs(kind.service, kind.name)
-        height = len(costs) - 1 if costs else repeats.UNKNOWN_HEIGHT
+        found = self.costs.of(kind.service, kind.name)
+        height = len(found) - 1 if found else repeats.UNKNOWN_HEIGHT
         budget.first_attempt(height)
         again = kind.rank in (0, 1)
         for _ in range(min(3, len(rows))):
@@ -282,7 +243,8 @@
         for attempt in range(2):
             entry = self.random.choice(self.gates)
             part = entry.part(loop.time(), kind.rank,
-                              self.costs(kind.service, kind.name), self.parts())
+                              self.costs.of(kind.service, kind.name),
+                              self.parts())
             try:
                 if self.gated and not entry.admits(part):
                     raise NoRoom
@@ -322,8 +284,6 @@
             asyncio.ensure_future(
                 self._every(_TICK_S, lambda row: row.tick(loop.time()))),
             asyncio.ensure_future(self._every(_TELL_S, lambda row: row.tell())),
-            asyncio.ensure_future(
-                self._every(_COSTS_S, lambda row: row.learn_costs())),
         ]
         await asyncio.gather(*(self._arrive(kind, rate, seconds)
                                for kind, rate in rate_by_kind.items()))
@@ -332,7 +292,7 @@
 
     def play(self, rate_by_kind, seconds):
         """Plays some seconds; rates are functions of the time."""
-        loop = VirtualLoop()
+        loop = virtual_time.VirtualLoop()
         try:
             loop.run_until_complete(self._play(rate_by_kind, seconds))
         finally:
--- a/tests/test_mesh_decisions.py
+++ b/tests/test_mesh_decisions.py
@@ -395,24 +395,15 @@
 
     def test_new_learner_stays(self):
         """A learner that was only just added is not taken for silent."""
-        members = {
-            "a": mesh_builders.member("10.0.0.1"),
-            "b": mesh_builders.member("10.0.0.2"),
-            "c": mesh_builders.member("10.0.0.3"),
-            "d": mesh_builders.member("10.0.0.4", False)
-        }
+        members = mesh_builders.members("abc", "d")
         self.assertIsNone(
             membership.next_members(members, dict.fromkeys(members, 0.1),
                                     {"a", "b", "c"}))
 
     def test_wiped_disk(self):
         """A member that lost its disk is replaced by its own successor."""
-        members = {
-            "a": mesh_builders.member("10.0.0.1"),
-            "b": mesh_builders.member("10.0.0.2"),
-            "c": mesh_builders.member("10.0.0.3"),
-            "c/new": mesh_builders.member("10.0.0.3", False)
-        }
+        members = mesh_builders.members("abc")
+        members["c/new"] = mesh_builders.member("10.0.0.3", False)
         silence = {"a": 0.0, "b": 0.1, "c": 1.0, "c/new": 0.1}
         changed = membership.next_members(members, silence, {"a", "b", "c/new"})
         self.assertTrue(changed["c/new"].voter)
@@ -422,12 +413,7 @@
 
     def test_lost_for_good(self):
         """The spare votes in place of a member that stays silent."""
-        members = {
-            "a": mesh_builders.member("10.0.0.1"),
-            "b": mesh_builders.member("10.0.0.2"),
-            "c": mesh_builders.member("10.0.0.3"),
-            "d": mesh_builders.member("10.0.0.4", False)
-        }
+        members = mesh_builders.members("abc", "d")
         silence = {"a": 0.0, "b": 0.1, "c": 9.0, "d": 0.1}
         changed = membership.next_members(members, silence, {"a", "b", "d"})
         self.assertTrue(changed["d"].voter)
