Give up what the lease has ended for before counting anew

Found by reading: a node attached after its lease counted its whole stock as returned just after its counters were set back, and told a stock of nothing. The leader took the return off what the node had spent lately, and could hand those tokens out a second time. test_attached_after_the_lease fails before.

--- a/src/apricothinge/mesh/tokens.py
+++ b/src/apricothinge/mesh/tokens.py
@@ -103,6 +103,8 @@
 
     def attach(self) -> None:
         """Begins to count anew for another server."""
+        # What the lease has ended for is not in the stock that it is told.
+        self._expire()
         for row in self._row_by_name.values():
             row.spent = 0
             row.aged = 0
--- a/tests/test_mesh_decisions.py
+++ b/tests/test_mesh_decisions.py
@@ -340,6 +340,15 @@
         self.assertFalse(stock.take(0.1, self.organisation, True))
         self.assertEqual(stock.stock(), {})
 
+    def test_attached_after_the_lease(self):
+        """What the new server is told of is not returned to it as well."""
+        stock = tokens.Stock(0.0)
+        stock.renew(tokens.boot_s() - tokens.LEASE_S - 1.0)
+        stock.add({"o": 5}, 0.0)
+        stock.attach()
+        self.assertEqual(stock.stock(), {})
+        self.assertEqual(stock.counts()["o"][:3], (0, 0, 0))
+
     def test_lowered_limit(self):
         """A lowered limit takes tokens out of the stock."""
         compiled = documents.Compiled(
