Run pipelined idempotent requests before their turn

Cause: a session read the next request only after the previous response, so three requests of a pipeline took the sum of their times, and the deadline of a later one was counted from the moment at which it was read. A streamed response that nobody iterated kept its entry and its place at the upstream, since an async generator that never ran has nothing to clean up. The response to malformed input was lost to a reset when the client went on sending, and a half-closed connection stayed until the idle timeout.

A request that closes the connection, a planned stop and malformed input leave the rest unread. Heads carry the time of their arrival. messages.Content cleans up also if nothing was read from it. Lingering discards raw input.

--- a/src/apricothinge/mesh/dispatch.py
+++ b/src/apricothinge/mesh/dispatch.py
@@ -134,6 +134,8 @@
                 # over a later refusal, which would falsely report that nothing
                 # has run.
                 return self._conclude(last_run or last, service)
+            if last.response is not None and last.response.rest is not None:
+                await last.response.discard()
             self._metrics.retries.labels(service).inc()
             log.event("request:sent_again",
                       request=upstream_request.call.request_id,
--- a/src/apricothinge/mesh/entry.py
+++ b/src/apricothinge/mesh/entry.py
@@ -85,6 +85,17 @@
             raise
         return response
 
+    def may_run_ahead(self, request: messages.Request) -> bool:
+        """Returns whether a request is idempotent by its route."""
+        compiled = self._state.compiled
+        if compiled is None or self._state.closed:
+            return False
+        try:
+            route = self._find_route(compiled, request)
+        except errors.CallError:
+            return False
+        return route.kind is documents.RouteKind.IDEMPOTENT
+
     def _add_jitter(self, wait_s: float) -> float:
         wait_s = max(_MIN_RETRY_S, wait_s)
         return wait_s * (1.0 + _RETRY_JITTER * self._random.random())
--- a/src/apricothinge/mesh/streams.py
+++ b/src/apricothinge/mesh/streams.py
@@ -165,6 +165,11 @@
         self._call_by_stream: dict[int, _OutgoingCall] = {}
         self._last_stream = 0
 
+    @property
+    def running(self) -> int:
+        """Number of calls whose response has not been received in full."""
+        return len(self._call_by_stream)
+
     def link_lost(self) -> None:
         """Fails all calls, since the link has ended."""
         self.link = None
@@ -269,21 +274,13 @@
                 response.length = head.length
             return response
 
-        async def rest() -> AsyncIterator[bytes]:
-            complete = False
-            try:
-                while True:
-                    chunk = await outgoing.reader.read()
-                    if not chunk:
-                        complete = True
-                        return
-                    yield chunk
-            finally:
-                self._call_by_stream.pop(stream, None)
-                if not complete:
-                    link.send(frames.Cancel(stream))
+        def close(complete: bool) -> None:
+            self._call_by_stream.pop(stream, None)
+            if not complete:
+                link.send(frames.Cancel(stream))
 
-        return messages.Response(head.status, head.headers, head.data, rest(),
+        return messages.Response(head.status, head.headers, head.data,
+                                 messages.Content(outgoing.reader.read, close),
                                  head.length)
 
 
@@ -455,15 +452,10 @@
                                0.0, self._get_load()))
         finally:
             if response is not None:
-                if response.rest is not None and not complete:
-                    await _close_content(response.rest)
-                response.notify_done(complete)
+                if complete:
+                    response.notify_done(True)
+                else:
+                    await response.discard()
             by_stream = self._calls_by_link.get(link)
             if by_stream is not None:
                 by_stream.pop(stream, None)
-
-
-async def _close_content(rest: AsyncIterator[bytes]) -> None:
-    aclose = getattr(rest, "aclose", None)
-    if aclose is not None:
-        await aclose()
--- a/src/apricothinge/web/client.py
+++ b/src/apricothinge/web/client.py
@@ -1,7 +1,6 @@
 """Pooled HTTP client connections to upstreams and other nodes."""
 
 import asyncio
-from collections.abc import AsyncIterator
 from typing import Any, Final
 
 from apricothinge import settings
@@ -310,23 +309,21 @@
                                  response_started=True)
         return event
 
-    async def _stream_remaining(
-            self, conn: connection.Connection,
-            address: settings.Address) -> AsyncIterator[bytes]:
-        complete = False
-        try:
-            while True:
-                event = await self._next_response_event(conn)
-                if isinstance(event, wire.EndOfMessage):
-                    complete = True
-                    return
-                yield event.data
-        finally:
+    def _stream_remaining(self, conn: connection.Connection,
+                          address: settings.Address) -> messages.Content:
+
+        async def read() -> bytes:
+            event = await self._next_response_event(conn)
+            return b"" if isinstance(event, wire.EndOfMessage) else event.data
+
+        def close(complete: bool) -> None:
             if complete:
                 self._return_to_pool(address, conn)
             else:
                 self._discard(conn)
 
+        return messages.Content(read, close)
+
     def _return_to_pool(self, address: settings.Address,
                         conn: connection.Connection) -> None:
         """Makes a connection idle, or closes it if it cannot be reused."""
--- a/src/apricothinge/web/connection.py
+++ b/src/apricothinge/web/connection.py
@@ -26,6 +26,7 @@
         input_ended: Whether the peer has sent EOF or the transport is closed.
         on_disconnect: Called when the peer sends EOF and when the transport
             closes.
+        on_input: Called after input has been parsed.
         idle_since: Loop time in seconds at which the last exchange ended.
         transport: The transport, None before the connection is made.
         sent_bytes: Whether the current exchange has written any bytes.
@@ -41,7 +42,7 @@
                  "idle_since", "transport", "sent_bytes", "wait_deadline",
                  "_loop", "_waiter", "_drain_waiter", "_paused", "_read_ahead",
                  "_on_connect", "_timed_out", "_needs_input", "reset",
-                 "idle_limit_s", "out_of_sync")
+                 "idle_limit_s", "out_of_sync", "on_input")
 
     def __init__(
             self,
@@ -52,6 +53,7 @@
         self.closed = False
         self.input_ended = False
         self.on_disconnect: Callable[[], None] | None = None
+        self.on_input: Callable[[], None] | None = None
         self.idle_since = 0.0
         self.sent_bytes = False
         self.wait_deadline = math.inf
@@ -81,12 +83,15 @@
 
         Pauses reading if too much input has not been read.
         """
+        self.codec.received_at = self._loop.time()
         self.codec.receive_data(data)
         self._needs_input = False
         self._read_ahead += len(data)
         if self._read_ahead > _READ_AHEAD_BYTES and self.transport is not None:
             self.transport.pause_reading()
         self._wake()
+        if self.on_input is not None:
+            self.on_input()
 
     def eof_received(self) -> bool:
         """Records the end of input; called by the event loop."""
@@ -153,6 +158,11 @@
             self._timed_out = False
             raise TimeoutError
 
+    @property
+    def read_ahead_bytes(self) -> int:
+        """Number of bytes received since the last wait for input."""
+        return self._read_ahead
+
     async def wait_for_input(self) -> None:
         """Waits until input arrives or the connection ends.
 
--- a/src/apricothinge/web/messages.py
+++ b/src/apricothinge/web/messages.py
@@ -5,7 +5,9 @@
 from apricothinge import errors
 from apricothinge import keys
 
-__all__ = ["Body", "Headers", "Request", "Response", "end_to_end", "header"]
+__all__ = [
+    "Body", "Content", "Headers", "Request", "Response", "end_to_end", "header"
+]
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -107,6 +109,49 @@
             yield chunk
 
 
+class Content(AsyncIterator[bytes]):
+    """The content of a response that is still being received.
+
+    Unlike an async generator, it also cleans up if nothing was read from it.
+    """
+
+    __slots__ = ("_read", "_on_close")
+
+    def __init__(self, read: Callable[[], Awaitable[bytes]],
+                 on_close: Callable[[bool], None]) -> None:
+        """Creates the content.
+
+        Args:
+            read: Returns the next chunk, or empty bytes at the end.
+            on_close: Called once at the end, with whether the content is
+                complete.
+        """
+        self._read = read
+        self._on_close: Callable[[bool], None] | None = on_close
+
+    def _close(self, complete: bool) -> None:
+        on_close, self._on_close = self._on_close, None
+        if on_close is not None:
+            on_close(complete)
+
+    async def __anext__(self) -> bytes:
+        if self._on_close is None:
+            raise StopAsyncIteration
+        try:
+            chunk = await self._read()
+        except BaseException:
+            self._close(False)
+            raise
+        if chunk:
+            return chunk
+        self._close(True)
+        raise StopAsyncIteration
+
+    async def aclose(self) -> None:
+        """Ends the content early; has no effect after its end."""
+        self._close(False)
+
+
 class Request:
     """A request as the server received it.
 
@@ -158,7 +203,7 @@
                  status: int,
                  headers: Headers,
                  data: bytes,
-                 rest: AsyncIterator[bytes] | None = None,
+                 rest: Content | None = None,
                  length: int | None = None) -> None:
         self.status = status
         self.headers: Headers = []
@@ -185,6 +230,13 @@
         if callback is not None:
             callback(complete)
 
+    async def discard(self) -> None:
+        """Ends a response that is not relayed, and stops its sender."""
+        rest, self.rest = self.rest, None
+        if rest is not None:
+            await rest.aclose()
+        self.notify_done(False)
+
 
 def error_kind(response: Response) -> errors.Kind | None:
     """Returns the error kind that a node set on its response, or None.
--- a/src/apricothinge/web/server.py
+++ b/src/apricothinge/web/server.py
@@ -2,6 +2,7 @@
 
 import abc
 import asyncio
+from collections.abc import Coroutine
 import contextlib
 import math
 from typing import Any, Final
@@ -13,6 +14,7 @@
 from apricothinge import settings
 from apricothinge.web import connection
 from apricothinge.web import messages
+from apricothinge.web import pipeline
 from apricothinge.web import wire
 
 __all__ = ["Handler", "Server", "error_response"]
@@ -21,6 +23,10 @@
 _LINGER_TIMEOUT_S: Final = 2.0
 _MAX_LINGER_BYTES: Final = 4 << 20
 
+# A handler of the current request, or one that was started ahead of its turn.
+_Running = (Coroutine[Any, Any, messages.Response] |
+            asyncio.Task[messages.Response])
+
 
 class Handler(abc.ABC):
     """Handles the requests of one port."""
@@ -36,6 +42,15 @@
                 upstream.
         """
 
+    def may_run_ahead(self, request: messages.Request) -> bool:
+        """Returns whether a pipelined request may run before its turn.
+
+        Only requests without content are asked about, and only once every
+        earlier request on the connection that was not answered yet may too.
+        """
+        del request
+        return False
+
 
 class _ErrorBody(msgspec.Struct):
     error: str
@@ -161,8 +176,14 @@
             task.cancel()
 
     async def _run_session(self, conn: connection.Connection) -> None:
+        requests = pipeline.Pipeline(
+            conn, self._build_request,
+            lambda request: not self.draining and self._handler.may_run_ahead(
+                request), lambda request: asyncio.ensure_future(
+                    self._handler.handle(request)))
+        conn.on_input = requests.advance
         try:
-            while await self._exchange(conn):
+            while await self._exchange(conn, requests):
                 conn.codec.start_next_exchange()
         except (connection.ConnectionLost, wire.LocalProtocolError):
             conn.abort()
@@ -173,13 +194,17 @@
             eliot.write_traceback()
             conn.abort()
         finally:
+            conn.on_input = None
             conn.close()
             self._idle_connections.discard(conn)
             self._connections.discard(conn)
+            await requests.close()
 
     async def _read_head(self, conn: connection.Connection) -> Any:
         """Returns the first event of a request, None after the idle timeout."""
         if not conn.has_unread_input():
+            if conn.input_ended:
+                return None
             self._idle_connections.add(conn)
             conn.wait_deadline = self._loop.time() + self._limits.idle_timeout_s
             try:
@@ -202,52 +227,66 @@
         finally:
             conn.wait_deadline = math.inf
 
-    async def _exchange(self, conn: connection.Connection) -> bool:
+    async def _exchange(self, conn: connection.Connection,
+                        requests: pipeline.Pipeline) -> bool:
         """Serves one request and returns whether another may follow."""
-        try:
-            event = await self._read_head(conn)
-            if not isinstance(event, wire.MessageHead):
+        started = requests.pop()
+        if started is not None:
+            request = started.request
+            running: _Running = started.task
+        else:
+            requests.permitted = False
+            try:
+                event = await self._read_head(conn)
+                if not isinstance(event, wire.MessageHead):
+                    return False
+                request = self._build_request(event)
+            except errors.CallError as error:
+                await self._reject(conn, error)
                 return False
-            request = self._build_request(conn, event)
-        except errors.CallError as error:
-            await self._reject(conn, error)
-            return False
-        response = await self._run_handler(conn, request)
+            self._attach_content(conn, request)
+            requests.permitted = (event.keep_alive and
+                                  request.body.length == 0 and
+                                  self._handler.may_run_ahead(request))
+            running = self._handler.handle(request)
+        requests.advance()
+        response = await self._run_handler(conn, running)
         if response is None:
             conn.abort()
             return False
         try:
-            await self._send_response(conn, request, response)
+            await self._send_response(conn, request, response,
+                                      bool(len(requests)))
         except BaseException:
-            response.notify_done(False)
+            await response.discard()
             raise
         response.notify_done(True)
-        return await self._finish_exchange(conn)
+        return await self._finish_exchange(conn, bool(len(requests)))
 
-    async def _run_handler(
-            self, conn: connection.Connection,
-            request: messages.Request) -> messages.Response | None:
-        """Runs the handler; returns None if the client disconnected."""
+    async def _run_handler(self, conn: connection.Connection,
+                           running: _Running) -> messages.Response | None:
+        """Awaits a handler; returns None if the client disconnected."""
         task = asyncio.current_task()
         assert task is not None
         client_gone = False
         # The handler is awaited directly, since a task for each request costs
         # more. The flag keeps a late disconnect from cancelling the session.
-        running = True
+        handling = True
 
         def cancel_handler() -> None:
             nonlocal client_gone
-            if running and not client_gone and (conn.closed or
-                                                self._cancel_on_half_close):
+            if handling and not client_gone and (conn.closed or
+                                                 self._cancel_on_half_close):
                 client_gone = True
                 task.cancel()
 
         conn.on_disconnect = cancel_handler
         if conn.closed or (conn.input_ended and self._cancel_on_half_close and
                            not conn.has_unread_input()):
+            await _abandon(running)
             return None
         try:
-            return await self._handler.handle(request)
+            return await running
         except errors.CallError as error:
             return error_response(error)
         except errors.ApricothingeError as error:
@@ -257,19 +296,25 @@
                 errors.CallError(errors.Kind.MALFORMED_REQUEST,
                                  "the content is malformed or incomplete"))
         except asyncio.CancelledError:
+            if client_gone:
+                task.uncancel()
+            await _abandon(running)
             if not client_gone:
                 raise
-            task.uncancel()
             return None
         except Exception:  # pylint: disable=broad-exception-caught
             eliot.write_traceback()
             return error_response(errors.CallError(errors.Kind.INTERNAL))
         finally:
-            running = False
+            handling = False
             conn.on_disconnect = None
 
-    def _build_request(self, conn: connection.Connection,
-                       event: wire.MessageHead) -> messages.Request:
+    def _build_request(self, event: wire.MessageHead) -> messages.Request:
+        """Returns the request of a head, still without its content.
+
+        Raises:
+            errors.CallError: The head is not acceptable.
+        """
         headers = event.headers
         length: int | None = None
         chunked = False
@@ -294,14 +339,20 @@
                 "the request target does not start with a slash")
         if length is None and not chunked:
             length = 0
-        if length == 0:
+        return messages.Request(event.method.decode().upper(), target, headers,
+                                messages.Body(length, None), event.version,
+                                event.received_at)
+
+    def _attach_content(self, conn: connection.Connection,
+                        request: messages.Request) -> None:
+        """Makes the content of the current request readable."""
+        if request.body.length == 0:
             # Reads the end of the message, which has been received already, so
             # that the connection can be reused.
             conn.codec.next_event()
-        body = messages.Body(
-            length, None if length == 0 else self._content_reader(conn))
-        return messages.Request(event.method.decode().upper(), target, headers,
-                                body, event.version, self._loop.time())
+            return
+        request.body = messages.Body(request.body.length,
+                                     self._content_reader(conn))
 
     def _content_reader(self, conn: connection.Connection) -> Any:
 
@@ -346,10 +397,21 @@
 
     async def _send_response(self, conn: connection.Connection,
                              request: messages.Request,
-                             response: messages.Response) -> None:
+                             response: messages.Response,
+                             more_started: bool) -> None:
+        """Sends a response.
+
+        Args:
+            conn: The connection.
+            request: The request.
+            response: Its response.
+            more_started: Whether later requests were started already, so that
+                the connection stays open for their responses.
+        """
         fields = self._response_fields(response)
         self._discard_received_content(conn)
-        if (self.draining or conn.codec.receiving is wire.Stage.CONTENT):
+        if (self.draining and not more_started or
+                conn.codec.receiving is wire.Stage.CONTENT):
             fields.append((b"connection", b"close"))
         if response.rest is not None and response.length is None and (
                 request.version == b"1.0"):
@@ -367,15 +429,14 @@
             await self._drain_writes(conn)
             return
         conn.send(head)
-        async with contextlib.aclosing(response.rest) as rest:  # type: ignore
-            try:
-                async for chunk in rest:
-                    conn.send(conn.codec.content(chunk))
-                    await self._drain_writes(conn)
-            except Exception:
-                # A truncated response must not look complete.
-                conn.abort()
-                raise connection.ConnectionLost from None
+        try:
+            async for chunk in response.rest:
+                conn.send(conn.codec.content(chunk))
+                await self._drain_writes(conn)
+        except Exception:
+            # A truncated response must not look complete.
+            conn.abort()
+            raise connection.ConnectionLost from None
         conn.send(conn.codec.end())
 
     @staticmethod
@@ -422,12 +483,20 @@
         response.length = len(response.data)
         response.rest = None
 
-    async def _finish_exchange(self, conn: connection.Connection) -> bool:
+    async def _finish_exchange(self, conn: connection.Connection,
+                               more_started: bool) -> bool:
         """Returns whether the connection can be used for another request."""
+        if conn.closed:
+            return False
         if conn.codec.receiving is wire.Stage.CONTENT:
             await self._linger(conn)
             return False
-        return (conn.codec.reusable and not conn.closed and not self.draining)
+        if conn.codec.reusable and (more_started or not self.draining):
+            return True
+        if conn.has_unread_input():
+            # Further requests are on their way.
+            await self._linger(conn)
+        return False
 
     async def _linger(self, conn: connection.Connection) -> None:
         """Discards input for a while before the connection is closed.
@@ -438,12 +507,19 @@
         if conn.transport is not None and conn.transport.can_write_eof():
             with contextlib.suppress(OSError):
                 conn.transport.write_eof()
-        remaining_bytes = _MAX_LINGER_BYTES
-        with contextlib.suppress(TimeoutError, wire.ProtocolError):
+        conn.codec.ignore_input()
+        received_bytes = 0
+        with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(_LINGER_TIMEOUT_S):
-                while remaining_bytes > 0 and not conn.input_ended:
-                    event = await conn.next_event()
-                    if not isinstance(event, wire.Data):
-                        await conn.wait_for_input()
-                        continue
-                    remaining_bytes -= len(event.data)
+                while (received_bytes < _MAX_LINGER_BYTES and
+                       not conn.input_ended):
+                    await conn.wait_for_input()
+                    received_bytes += conn.read_ahead_bytes
+
+
+async def _abandon(running: _Running) -> None:
+    """Ends a handler whose response cannot be sent any more."""
+    if isinstance(running, asyncio.Task):
+        await pipeline.abandon(running)
+    else:
+        running.close()
--- a/src/apricothinge/web/wire.py
+++ b/src/apricothinge/web/wire.py
@@ -57,10 +57,11 @@
         version: b"1.0" or b"1.1".
         keep_alive: Whether the connection can be reused after the message.
         close_delimited: Whether the content ends with the connection.
+        received_at: `Http1Codec.received_at` when the head was complete.
     """
 
     __slots__ = ("method", "target", "status", "headers", "version",
-                 "keep_alive", "close_delimited")
+                 "keep_alive", "close_delimited", "received_at")
 
     def __init__(self,
                  method: bytes,
@@ -69,7 +70,9 @@
                  headers: _Headers,
                  version: bytes,
                  keep_alive: bool,
-                 close_delimited: bool = False) -> None:
+                 close_delimited: bool = False,
+                 received_at: float = 0.0) -> None:
+        self.received_at = received_at
         self.method = method
         self.target = target
         self.status = status
@@ -115,13 +118,15 @@
         expects_continue: Whether the client waits for a 100 response.
         close_delimited: Whether the message that is being read ends with the
             connection.
+        received_at: Time in seconds of the input that is parsed next, set by
+            the connection.
     """
 
     __slots__ = ("server", "sending", "receiving", "expects_continue",
                  "_parser", "_events", "_error", "_input_ended", "_in_message",
                  "_in_head", "_head_bytes", "_max_head_bytes", "_target",
                  "_headers", "_keep_alive", "close_delimited", "_chunked",
-                 "_omits_content", "_method", "_ignores_input")
+                 "_omits_content", "_method", "_ignores_input", "received_at")
 
     def __init__(self, server: bool, max_head_bytes: int) -> None:
         """Creates a codec that expects the start of a message.
@@ -152,6 +157,7 @@
         self._omits_content = False
         self._method = b""
         self._ignores_input = False
+        self.received_at = 0.0
 
     # Parser callbacks.
 
@@ -197,8 +203,13 @@
             self._fail("exactly one host header is required")
             return
         self._events.append(
-            MessageHead(self._parser.get_method(), self._target, 0,
-                        self._headers, version, keep_alive))
+            MessageHead(self._parser.get_method(),
+                        self._target,
+                        0,
+                        self._headers,
+                        version,
+                        keep_alive,
+                        received_at=self.received_at))
 
     def _finish_response_head(self, version: bytes, keep_alive: bool) -> None:
         status = self._parser.get_status_code()
@@ -262,6 +273,11 @@
             if self._head_bytes > self._max_head_bytes:
                 self._fail("the message head is too large", too_large=True)
 
+    def ignore_input(self) -> None:
+        """Discards all input from now on, whether it is valid or not."""
+        self._ignores_input = True
+        self._events.clear()
+
     def next_event(self) -> Any:
         """Returns a MessageHead, Data, EndOfMessage, NEED_DATA or CLOSED.
 
@@ -291,6 +307,29 @@
             raise ProtocolError("connection closed in the middle of a message")
         return CLOSED
 
+    def peek_request(self) -> MessageHead | None:
+        """Returns the head of the next request if it is whole, else None.
+
+        Only requests without content count as whole, and only those behind a
+        request that has been read to its end.
+        """
+        events = self._events
+        if (len(events) < 2 or self.receiving is Stage.CONTENT or
+                not isinstance(events[1], EndOfMessage)):
+            return None
+        head = events[0]
+        return head if isinstance(head, MessageHead) else None
+
+    def take_request(self) -> None:
+        """Removes the request that `peek_request` has returned."""
+        self._events.popleft()
+        self._events.popleft()
+
+    def resume_request(self, head: MessageHead) -> None:
+        """Continues with a request that was taken, after the previous one."""
+        self.receiving = Stage.DONE
+        self._keep_alive = head.keep_alive
+
     @property
     def has_unread_input(self) -> bool:
         """Whether there is input, or an error, that has not been read."""
