--- a/src/apricothinge/mesh/dispatch.py
+++ b/src/apricothinge/mesh/dispatch.py
@@ -135,7 +135,7 @@
                 # has run.
                 return self._conclude(last_run or last, service)
             if last.response is not None and last.response.rest is not None:
-                await last.response.discard()
+                last.response.discard()
             self._metrics.retries.labels(service).inc()
             log.event("request:sent_again",
                       request=upstream_request.call.request_id,
@@ -221,7 +221,8 @@
                       error: errors.CallError) -> None:
         if error.kind in (errors.Kind.OVERLOADED, errors.Kind.EXPIRED):
             self._router.record_refusal(target, 0.0)
-        elif error.kind is errors.Kind.CRASH_SUSPECTED:
+        elif error.kind in (errors.Kind.CRASH_SUSPECTED,
+                            errors.Kind.CONTENT_TOO_LARGE):
             self._router.record_inconclusive(target)
         elif error.kind is errors.Kind.NO_UPSTREAM:
             self._router.record_refusal(target, 0.0)
--- a/src/apricothinge/mesh/entry.py
+++ b/src/apricothinge/mesh/entry.py
@@ -40,6 +40,7 @@
 # Tokens become available again as their spends leave the window, which happens
 # evenly over its length.
 _RATE_LIMIT_RETRY_S: Final = 0.5
+_DEADLINE: Final = re.compile(rb"[0-9]{1,18}")
 # Such a path could leave the prefix by which its route is chosen.
 _UNSAFE_PATH: Final = re.compile(r"(^|/)\.{1,2}(/|$)|%2f|%5c|%2e", re.I)
 
@@ -112,6 +113,7 @@
         limit = compiled.document.limits.body_bytes
         if body.length is not None and body.length > limit:
             raise errors.CallError(errors.Kind.CONTENT_TOO_LARGE)
+        body.max_bytes = limit
         charged_organisation = None if route.anonymous else organisation
         if charged_organisation is not None:
             await self._spend_token(charged_organisation)
@@ -227,12 +229,11 @@
         remaining_s = route.timeout_s
         text = messages.header(request.headers, self._state.names.deadline_ms)
         if text is not None:
-            try:
-                remaining_s = min(remaining_s, int(text) / 1000)
-            except ValueError:
+            if not _DEADLINE.fullmatch(text):
                 raise errors.CallError(
                     errors.Kind.MALFORMED_REQUEST,
-                    "the deadline is not an integer") from None
+                    "the deadline is not a number of milliseconds")
+            remaining_s = min(remaining_s, int(text) / 1000)
         return request.received_at + remaining_s
 
     def _make_upstream_request(self, compiled: documents.CompiledDocument,
--- a/src/apricothinge/mesh/streams.py
+++ b/src/apricothinge/mesh/streams.py
@@ -455,7 +455,7 @@
                 if complete:
                     response.notify_done(True)
                 else:
-                    await response.discard()
+                    response.discard()
             by_stream = self._calls_by_link.get(link)
             if by_stream is not None:
                 by_stream.pop(stream, None)
--- a/src/apricothinge/web/client.py
+++ b/src/apricothinge/web/client.py
@@ -17,6 +17,8 @@
 # of the announced keep-alive time is used.
 _KEEP_ALIVE_FRACTION: Final = 0.6
 _MIN_UNSUCCESSFUL_STATUS: Final = 300
+# Extra responses are few; a server that sends them without end never answers.
+_MAX_SKIPPED_RESPONSES: Final = 8
 
 
 class RequestNotSent(Exception):
@@ -238,7 +240,7 @@
             self, conn: connection.Connection,
             expected_header: tuple[bytes, bytes] | None) -> wire.MessageHead:
         """Reads the head of the response, skipping those to other requests."""
-        while True:
+        for _ in range(_MAX_SKIPPED_RESPONSES):
             event = await conn.next_event()
             if not isinstance(event, wire.MessageHead):
                 raise connection.ConnectionLost
@@ -251,10 +253,17 @@
             if conn.codec.sending is not wire.Stage.DONE:
                 raise ExchangeFailed("received a response to another request")
             self._check_framing(event)
-            while not isinstance(await self._next_response_event(conn),
-                                 wire.EndOfMessage):
-                pass
+            size = 0
+            while True:
+                part = await self._next_response_event(conn)
+                if isinstance(part, wire.EndOfMessage):
+                    break
+                size += len(part.data)
+                if size > self._max_buffered_bytes:
+                    raise ExchangeFailed(
+                        "received a large response to another request")
             conn.skip_response()
+        raise ExchangeFailed("received too many responses to other requests")
 
     async def _receive_response(
             self, conn: connection.Connection, address: settings.Address,
--- a/src/apricothinge/web/messages.py
+++ b/src/apricothinge/web/messages.py
@@ -1,6 +1,7 @@
 """HTTP requests and responses, independent of their connection."""
 
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
+import math
 
 from apricothinge import errors
 from apricothinge import keys
@@ -50,9 +51,11 @@
         length: Total size in bytes, or None if the sender did not declare it.
         prefix: Bytes buffered so far, which can be sent more than once.
         complete: Whether `prefix` is the whole content.
+        max_bytes: Size beyond which reading fails.
     """
 
-    __slots__ = ("length", "prefix", "complete", "_read", "_consumed")
+    __slots__ = ("length", "prefix", "complete", "max_bytes", "_read",
+                 "_consumed", "_size")
 
     def __init__(self,
                  length: int | None,
@@ -61,8 +64,18 @@
         self.length = length
         self.prefix = prefix
         self.complete = read is None
+        self.max_bytes = math.inf
         self._read = read
         self._consumed = False
+        self._size = len(prefix)
+
+    async def _read_chunk(self) -> bytes:
+        assert self._read is not None
+        chunk = await self._read()
+        self._size += len(chunk)
+        if self._size > self.max_bytes:
+            raise errors.CallError(errors.Kind.CONTENT_TOO_LARGE)
+        return chunk
 
     async def buffer(self, max_bytes: int) -> None:
         """Reads into `prefix` until the content ends or exceeds a size.
@@ -77,9 +90,8 @@
             return
         parts = [self.prefix]
         size = len(self.prefix)
-        assert self._read is not None
         while size <= max_bytes:
-            chunk = await self._read()
+            chunk = await self._read_chunk()
             if not chunk:
                 self.complete = True
                 break
@@ -101,9 +113,13 @@
         if self.complete:
             return
         self._consumed = True
-        assert self._read is not None
         while True:
-            chunk = await self._read()
+            try:
+                chunk = await self._read_chunk()
+            except errors.CallError as error:
+                # The reader may have passed on what it got so far.
+                error.not_run = False
+                raise
             if not chunk:
                 return
             yield chunk
@@ -147,7 +163,7 @@
         self._close(True)
         raise StopAsyncIteration
 
-    async def aclose(self) -> None:
+    def close(self) -> None:
         """Ends the content early; has no effect after its end."""
         self._close(False)
 
@@ -230,11 +246,11 @@
         if callback is not None:
             callback(complete)
 
-    async def discard(self) -> None:
+    def discard(self) -> None:
         """Ends a response that is not relayed, and stops its sender."""
         rest, self.rest = self.rest, None
         if rest is not None:
-            await rest.aclose()
+            rest.close()
         self.notify_done(False)
 
 
--- a/src/apricothinge/web/pipeline.py
+++ b/src/apricothinge/web/pipeline.py
@@ -116,4 +116,4 @@
     task.cancel()
     await asyncio.wait((task,))
     if not task.cancelled() and task.exception() is None:
-        await task.result().discard()
+        task.result().discard()
--- a/src/apricothinge/web/server.py
+++ b/src/apricothinge/web/server.py
@@ -258,7 +258,7 @@
             await self._send_response(conn, request, response,
                                       bool(len(requests)))
         except BaseException:
-            await response.discard()
+            response.discard()
             raise
         response.notify_done(True)
         return await self._finish_exchange(conn, bool(len(requests)))
@@ -287,14 +287,17 @@
             return None
         try:
             return await running
-        except errors.CallError as error:
-            return error_response(error)
-        except errors.ApricothingeError as error:
-            return error_response(errors.CallError(error.kind, error.detail))
+        except errors.CallError as call_error:
+            return error_response(call_error)
+        except errors.ApricothingeError as failure:
+            return error_response(errors.CallError(failure.kind,
+                                                   failure.detail))
         except (connection.ConnectionLost, wire.ProtocolError):
-            return error_response(
-                errors.CallError(errors.Kind.MALFORMED_REQUEST,
-                                 "the content is malformed or incomplete"))
+            error = errors.CallError(errors.Kind.MALFORMED_REQUEST,
+                                     "the content is malformed or incomplete")
+            # Content may have been passed on before the error was found.
+            error.not_run = False
+            return error_response(error)
         except asyncio.CancelledError:
             if client_gone:
                 task.uncancel()
--- a/src/apricothinge/web/wire.py
+++ b/src/apricothinge/web/wire.py
@@ -124,7 +124,7 @@
 
     __slots__ = ("server", "sending", "receiving", "expects_continue",
                  "_parser", "_events", "_error", "_input_ended", "_in_message",
-                 "_in_head", "_head_bytes", "_max_head_bytes", "_target",
+                 "_in_head", "_overhead_bytes", "_max_head_bytes", "_target",
                  "_headers", "_keep_alive", "close_delimited", "_chunked",
                  "_omits_content", "_method", "_ignores_input", "received_at")
 
@@ -133,7 +133,8 @@
 
         Args:
             server: Whether this is the server side.
-            max_head_bytes: Size beyond which an incomplete head is rejected.
+            max_head_bytes: Number of consecutive bytes of input without a
+                whole head or any content beyond which a message is rejected.
         """
         self.server = server
         self.sending = Stage.IDLE
@@ -147,7 +148,7 @@
         self._input_ended = False
         self._in_message = False
         self._in_head = False
-        self._head_bytes = 0
+        self._overhead_bytes = 0
         self._max_head_bytes = max_head_bytes
         self._target = b""
         self._headers: _Headers = []
@@ -180,7 +181,6 @@
     def on_headers_complete(self) -> None:
         """Finishes the head of a message; called by the parser."""
         self._in_head = False
-        self._head_bytes = 0
         version = self._parser.get_http_version().encode()
         keep_alive = version == _HTTP_1_1 and self._parser.should_keep_alive()
         if any(name == b"transfer-encoding" and value.lower() != b"chunked"
@@ -255,8 +255,7 @@
             return
         if self._error is not None or self._ignores_input:
             return
-        # Bytes before a head in the same read do not count towards its size.
-        was_in_head = self._in_head
+        event_count = len(self._events)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -268,10 +267,16 @@
                     event.keep_alive = False
         except httptools.HttpParserError as error:
             self._fail(str(error))
-        if was_in_head and self._in_head:
-            self._head_bytes += len(data)
-            if self._head_bytes > self._max_head_bytes:
-                self._fail("the message head is too large", too_large=True)
+        if len(self._events) > event_count:
+            self._overhead_bytes = 0
+            return
+        # A head, interim responses, chunk extensions and trailers without an
+        # end would otherwise be parsed for as long as the peer sends them.
+        self._overhead_bytes += len(data)
+        if self._overhead_bytes > self._max_head_bytes:
+            self._fail("the message head is too large"
+                       if self._in_head else "too much input without content",
+                       too_large=self._in_head)
 
     def ignore_input(self) -> None:
         """Discards all input from now on, whether it is valid or not."""
--- a/tests/mesh_builders.py
+++ b/tests/mesh_builders.py
@@ -46,15 +46,23 @@
                                   **overrides)
 
 
-def document(version=1, routes=None, organisations=None):
-    """Builds a desired state, which needs no keys without organisations."""
+def document(version=1, routes=None, organisations=None, **limits):
+    """Builds a desired state, which needs no keys without organisations.
+
+    Args:
+        version: Its version.
+        routes: Its routes, by default one.
+        organisations: Its organisations, or None.
+        **limits: Limits on callers that differ from the defaults.
+    """
     routes = routes or [route()]
     names = {part.service for row in routes for part in row.parts}
     return documents.Document(
         version=version,
         routes=routes,
         services=[documents.Service(name, 100) for name in sorted(names)],
-        organisations=organisations)
+        organisations=organisations,
+        limits=documents.ClientLimits(**limits))
 
 
 def check_in(upstream_id="u1", born=1000, sequence=1, **overrides):
--- a/tests/mesh_fleet.py
+++ b/tests/mesh_fleet.py
@@ -71,7 +71,7 @@
     if b"transfer-encoding: chunked" in lowered:
         chunks = []
         while True:
-            size = int(await reader.readline(), 16)
+            size = int((await reader.readuntil(b"\r\n")), 16)
             chunks.append(await reader.readexactly(size))
             await reader.readline()
             if not size:
