Let a member without a log answer its leader, and outlive a full disk

A member that joins has an empty log, knows no addresses, and dropped every reply to the leader: after a lost disk it never caught up and never voted again, so the group was one further failure from losing its quorum. Messages for its earlier name at the same address were handled as its own. A damaged folder was deleted, after which "bootstrap" let the instance return under its old name without its votes. A full disk ended the process; unsent bytes of the failed write stayed in the file buffer and could reach the log later. The folder that holds the data folder was not synced.

Change: batches name their receiver and the sender's address. A damaged folder is kept aside and its instance joins under a new name. On ENOSPC a member stops taking part, redirects to the leader, and continues from the disk as after a restart once a probe file can be written. Failed writes are taken back. A ticker that fails on anything else fails the member instead of ending silently.

FullDiskTest fails each step of each write of the storage.

--- a/src/apricothinge/control/group.py
+++ b/src/apricothinge/control/group.py
@@ -2,6 +2,7 @@
 
 import abc
 import asyncio
+import errno
 import math
 import random
 from typing import Any, Final
@@ -30,6 +31,9 @@
 _MAX_QUEUED_MESSAGES: Final = 256
 # A snapshot is taken beyond this, so that a restart reads the log quickly.
 _MAX_LOG_BYTES: Final = 8 << 20
+_DISK_FULL_ERRORS: Final = (errno.ENOSPC, errno.EDQUOT, errno.EFBIG)
+# Each attempt writes and syncs a probe file.
+_STORAGE_RETRY_S: Final = 0.5
 
 
 class PeerChannels:
@@ -102,7 +106,9 @@
         state_machine: The replicated state.
         wrong_disk: Whether another member rejected this member's data folder.
         applied_event: Set, and cleared at once, each time entries are applied.
-        failed: Set to the error once storage has failed.
+        failed: Set to the error once storage has failed for good.
+        suspended: Whether the member takes no part in the group, because its
+            disk is full.
     """
 
     def __init__(self,
@@ -129,22 +135,21 @@
         """
         self._loop = asyncio.get_running_loop()
         self._instance = instance
+        self._initial_members = members
+        self._external_promotion = external_promotion
         self._storage = store
         self._transport = transport
         self._snapshot_entries = snapshot_entries
         self.state_machine = state_machine
         self.wrong_disk = False
         self.applied_event = asyncio.Event()
-        self.raft = raft.Raft(self._loop.time(),
-                              instance,
-                              store,
-                              state_machine,
-                              members,
-                              random.Random(),
-                              raft.Timing(),
-                              external_promotion=external_promotion)
+        self._empty_state = state_machine.snapshot()
+        self.suspended = False
+        self._retry_storage_at = 0.0
+        self.raft = self._make_raft()
         self._queue_by_member: dict[str, list[raft_messages.Message]] = {}
         self._sender_by_member: dict[str, asyncio.Task[None]] = {}
+        self._address_by_unknown_sender: dict[str, settings.Address] = {}
         self._waiter_by_index: dict[int, tuple[int,
                                                "asyncio.Future[object]"]] = {}
         self._encoder = msgspec.msgpack.Encoder()
@@ -153,6 +158,17 @@
         self.failed: asyncio.Future[errors.ApricothingeError] = (
             self._loop.create_future())
 
+    def _make_raft(self) -> raft.Raft:
+        """Returns the Raft state as persisted."""
+        return raft.Raft(self._loop.time(),
+                         self._instance,
+                         self._storage,
+                         self.state_machine,
+                         self._initial_members,
+                         random.Random(),
+                         raft.Timing(),
+                         external_promotion=self._external_promotion)
+
     def start(self) -> None:
         """Starts the timer of the member."""
         self._ticker = asyncio.ensure_future(self._run_ticker())
@@ -169,7 +185,7 @@
     @property
     def is_leader(self) -> bool:
         """Whether this member is the leader."""
-        return self.raft.role is raft.Role.LEADER
+        return self.raft.role is raft.Role.LEADER and not self.suspended
 
     def leader_address(self) -> settings.Address | None:
         """Returns the leader's address, or None if unknown."""
@@ -186,30 +202,46 @@
     async def _run_ticker(self) -> None:
         while True:
             await asyncio.sleep(_TICK_INTERVAL_S)
+            if self.suspended:
+                self._try_to_resume()
+                continue
             try:
                 self.raft.tick(self._loop.time())
+                self.raft.record_disk_id(self._instance, self._storage.disk_id)
             except OSError as error:
+                self._handle_storage_error(error)
+                continue
+            except Exception as error:  # pylint: disable=broad-exception-caught
+                # A member without a timer would neither elect nor step down.
                 self._fail(error)
                 return
-            self.raft.record_disk_id(self._instance, self._storage.disk_id)
             self._dispatch()
 
     def receive(self, batch: rpc_messages.Batch) -> rpc_messages.Ack:
         """Handles messages from another member.
 
-        Raises:
-            OSError: Storage failed; `failed` is set.
+        If storage fails, the messages are not answered.
         """
+        if self.failed.done():
+            return rpc_messages.Ack()
+        if self.suspended:
+            self._note_leader(batch)
+            return rpc_messages.Ack()
+        if batch.receiver and batch.receiver != self._instance:
+            # Meant for a member that had this address before.
+            return rpc_messages.Ack()
         member = self.raft.members.get(batch.sender)
         if (member is not None and member.disk and member.disk != batch.disk):
             return rpc_messages.Ack(wrong_disk=True)
+        if member is None and batch.address is not None:
+            self._address_by_unknown_sender = {batch.sender: batch.address}
         try:
             for message in batch.messages:
                 self.raft.receive(self._loop.time(), batch.sender, message)
+            self.raft.record_disk_id(batch.sender, batch.disk)
         except OSError as error:
-            self._fail(error)
-            raise
-        self.raft.record_disk_id(batch.sender, batch.disk)
+            self._handle_storage_error(error)
+            return rpc_messages.Ack()
         self._dispatch()
         return rpc_messages.Ack()
 
@@ -222,13 +254,15 @@
     def _dispatch(self) -> None:
         """Flushes proposals, sends messages and completes applied proposals."""
         self._dispatch_scheduled = False
+        if self.suspended or self.failed.done():
+            return
         try:
             self.raft.flush(self._loop.time())
             if (self.raft.log_length > self._snapshot_entries or
                     self.raft.log_bytes > _MAX_LOG_BYTES):
                 self.raft.compact()
         except OSError as error:
-            self._fail(error)
+            self._handle_storage_error(error)
             return
         outbox, self.raft.outbox = self.raft.outbox, []
         for receiver, message in outbox:
@@ -242,6 +276,51 @@
         if not self.is_leader and self._waiter_by_index:
             self._fail_waiters()
 
+    def _handle_storage_error(self, error: OSError) -> None:
+        """Suspends the member if its disk is full, and else fails it.
+
+        The state in memory may be ahead of the disk, so nothing of it may be
+        sent, and the member continues from the disk as after a restart.
+        """
+        if error.errno not in _DISK_FULL_ERRORS:
+            self._fail(error)
+            return
+        eliot.log_message("control:disk_full", error=str(error))
+        self.suspended = True
+        self._retry_storage_at = self._loop.time() + _STORAGE_RETRY_S
+        self.raft.leader = None
+        self.raft.outbox = []
+        self.raft.results = []
+        self._fail_waiters()
+
+    def _note_leader(self, batch: rpc_messages.Batch) -> None:
+        """Remembers the leader, to which callers are redirected."""
+        if any(
+                isinstance(message, raft_messages.AppendRequest) and
+                message.term >= self.raft.term for message in batch.messages):
+            self.raft.leader = batch.sender
+
+    def _try_to_resume(self) -> None:
+        """Rejoins the group with the persisted state once the disk has room."""
+        now = self._loop.time()
+        if now < self._retry_storage_at:
+            return
+        self._retry_storage_at = now + _STORAGE_RETRY_S
+        try:
+            self._storage.probe()
+        except OSError:
+            return
+        try:
+            self.state_machine.restore(self._empty_state)
+            self.raft = self._make_raft()
+        except (OSError, errors.ApricothingeError) as error:
+            self._fail(error)
+            return
+        self.suspended = False
+        eliot.log_message("control:disk_has_room",
+                          term=self.raft.term,
+                          last_index=self.raft.last_index)
+
     def _fail(self, error: Exception) -> None:
         """Stops the timer and reports the error through `failed`.
 
@@ -288,7 +367,9 @@
             errors.ApricothingeError: NOT_LEADER, or UNREACHABLE if the
                 outcome is unknown.
         """
-        position = self.raft.propose(self._encoder.encode(command))
+        position = None
+        if self.is_leader and not self.failed.done():
+            position = self.raft.propose(self._encoder.encode(command))
         if position is None:
             raise errors.ApricothingeError(errors.Kind.NOT_LEADER)
         return await self._wait_for_result(position)
@@ -299,6 +380,8 @@
         Raises:
             errors.ApricothingeError: As in `propose`, or MEMBERSHIP_REFUSED.
         """
+        if not self.is_leader:
+            raise errors.ApricothingeError(errors.Kind.NOT_LEADER)
         await self._wait_for_result(self.raft.propose_members(members))
 
     async def _wait_for_result(self, position: tuple[int, int]) -> object:
@@ -317,6 +400,17 @@
 
     # Sending.
 
+    def _address(self, name: str) -> settings.Address | None:
+        """Returns the address of a member, or None if unknown.
+
+        The log of a new member is empty, so it knows the leader only from the
+        leader's messages.
+        """
+        member = self.raft.members.get(name)
+        if member is not None:
+            return member.address
+        return self._address_by_unknown_sender.get(name)
+
     def _enqueue(self, receiver: str, message: raft_messages.Message) -> None:
         queue = self._queue_by_member.setdefault(receiver, [])
         queue.append(message)
@@ -330,15 +424,16 @@
     async def _send(self, receiver: str) -> None:
         queue = self._queue_by_member[receiver]
         while queue:
-            member = self.raft.members.get(receiver)
-            if member is None:
+            address = self._address(receiver)
+            if address is None:
                 queue.clear()
                 return
             batch = rpc_messages.Batch(self._instance, self._storage.disk_id,
-                                       list(queue))
+                                       list(queue), receiver,
+                                       self._address(self._instance))
             queue.clear()
             try:
-                ack = await self._transport.step(member.address, batch)
+                ack = await self._transport.step(address, batch)
             except OSError:
                 queue.clear()
                 return
--- a/src/apricothinge/control/rpc_messages.py
+++ b/src/apricothinge/control/rpc_messages.py
@@ -26,11 +26,16 @@
         sender: Instance of the sending member.
         disk: Identifier of the data folder of the sender.
         messages: Messages in the order of sending.
+        receiver: Instance of the receiving member; empty if the sender is of
+            a version that does not name it.
+        address: Address of the sender, or None if the sender does not know it.
     """
 
     sender: str
     disk: str
     messages: list[raft_messages.Message]
+    receiver: str = ""
+    address: settings.Address | None = None
 
 
 class Ack(msgspec.Struct, frozen=True, array_like=True):
--- a/src/apricothinge/control/storage.py
+++ b/src/apricothinge/control/storage.py
@@ -5,7 +5,7 @@
 import pathlib
 import secrets
 import struct
-from typing import BinaryIO, Final
+from typing import Final
 import zlib
 
 import msgspec
@@ -13,12 +13,14 @@
 from apricothinge import errors
 from apricothinge.control import raft_messages as messages
 
-__all__ = ["FileStorage", "PersistentState", "Storage"]
+__all__ = ["FileStorage", "PersistentState", "Storage", "sync_folder"]
 
 _MAGIC: Final = b"\xa7LR1"
 _RECORD_HEADER: Final = struct.Struct("<4sII")
 _MAX_RECORD_BYTES: Final = 256 << 20
 _DISK_ID_BYTES: Final = 8
+# Room for a desired state of some hundred routes.
+_PROBE_BYTES: Final = 256 << 10
 
 
 class PersistentState:
@@ -63,6 +65,14 @@
                 or None.
         """
 
+    @abc.abstractmethod
+    def probe(self) -> None:
+        """Checks that the storage accepts writes.
+
+        Raises:
+            OSError: It does not.
+        """
+
     @abc.abstractmethod
     def save_snapshot(self, snapshot: messages.Snapshot,
                       entries: list[messages.Entry]) -> None:
@@ -98,7 +108,8 @@
     """Keeps the files `disk`, `vote`, `snapshot` and `log` in one data folder.
 
     Each file holds records with a length and a checksum. `vote` and `snapshot`
-    are replaced atomically by a rename; `log` is appended to.
+    are replaced atomically by a rename; `log` is appended to. A write that
+    fails leaves the files as they were.
 
     Attributes:
         disk_id: Random id of the data folder, created on first use.
@@ -115,12 +126,14 @@
         self._snapshot_decoder = msgspec.msgpack.Decoder(messages.Snapshot)
         self._size_by_index: dict[int, int] = {}
         folder.mkdir(parents=True, exist_ok=True)
+        sync_folder(folder.parent)
         self.disk_id = self._load_disk_id()
         self._log = self._open_log()
-        self._sync_folder()
+        sync_folder(self._folder)
 
-    def _open_log(self) -> BinaryIO:
-        return (self._folder / "log").open("ab")
+    def _open_log(self) -> int:
+        return os.open(self._folder / "log",
+                       os.O_WRONLY | os.O_APPEND | os.O_CREAT, 0o644)
 
     def _corruption_error(self, name: str,
                           offset: int) -> errors.ApricothingeError:
@@ -140,25 +153,33 @@
         self._write_record_file("disk", disk_id.encode())
         return disk_id
 
-    def _sync_folder(self) -> None:
-        handle = os.open(self._folder, os.O_RDONLY)
-        try:
-            os.fsync(handle)
-        finally:
-            os.close(handle)
-
     def _write_record_file(self, name: str, payload: bytes) -> None:
         self._write_file_atomically(name, _encode_record(payload))
 
     def _write_file_atomically(self, name: str, content: bytes) -> None:
         path = self._folder / name
         temporary = path.with_suffix(".new")
-        with open(temporary, "wb") as file:
-            file.write(content)
-            file.flush()
-            os.fsync(file.fileno())
-        temporary.replace(path)
-        self._sync_folder()
+        try:
+            handle = os.open(temporary, os.O_WRONLY | os.O_TRUNC | os.O_CREAT,
+                             0o644)
+            try:
+                _write_and_sync(handle, content)
+            finally:
+                os.close(handle)
+            temporary.replace(path)
+        except OSError:
+            temporary.unlink(missing_ok=True)
+            raise
+        sync_folder(self._folder)
+
+    def probe(self) -> None:
+        path = self._folder / "probe"
+        handle = os.open(path, os.O_WRONLY | os.O_TRUNC | os.O_CREAT, 0o644)
+        try:
+            _write_and_sync(handle, bytes(_PROBE_BYTES))
+        finally:
+            os.close(handle)
+            path.unlink(missing_ok=True)
 
     def _read_record_file(self, name: str) -> bytes | None:
         path = self._folder / name
@@ -203,6 +224,7 @@
     def _load_log(self, after: int) -> list[messages.Entry]:
         data = (self._folder / "log").read_bytes()
         offset = 0
+        self._size_by_index = {}
         entries: list[messages.Entry] = []
         while offset < len(data):
             decoded = _decode_record(data, offset)
@@ -233,8 +255,8 @@
             if _decode_record(data, position) is not None:
                 raise self._corruption_error("log", offset)
             position = data.find(_MAGIC, position + 1)
-        self._log.truncate(offset)
-        os.fsync(self._log.fileno())
+        os.ftruncate(self._log, offset)
+        os.fsync(self._log)
 
     def save_vote(self, vote: messages.Vote) -> None:
         self._write_record_file("vote", self._encoder.encode(vote))
@@ -243,23 +265,26 @@
                replace_from: int | None) -> None:
         if replace_from is not None:
             self._truncate_from(replace_from)
-        parts = []
-        for entry in entries:
-            record = _encode_record(self._encoder.encode(entry))
+        records = [
+            _encode_record(self._encoder.encode(entry)) for entry in entries
+        ]
+        length = os.fstat(self._log).st_size
+        try:
+            _write_and_sync(self._log, b"".join(records))
+        except OSError:
+            # An incomplete record must not be followed by others.
+            os.ftruncate(self._log, length)
+            raise
+        for entry, record in zip(entries, records):
             self._size_by_index[entry.index] = len(record)
-            parts.append(record)
-        self._log.write(b"".join(parts))
-        self._log.flush()
-        os.fsync(self._log.fileno())
 
     def _truncate_from(self, first: int) -> None:
         dropped = [index for index in self._size_by_index if index >= first]
         size = sum(self._size_by_index.pop(index) for index in dropped)
-        self._log.flush()
-        length = os.fstat(self._log.fileno()).st_size
-        self._log.truncate(length - size)
+        length = os.fstat(self._log).st_size
+        os.ftruncate(self._log, length - size)
         # Unless synced here, a crash could leave old entries after new ones.
-        os.fsync(self._log.fileno())
+        os.fsync(self._log)
 
     def save_snapshot(self, snapshot: messages.Snapshot,
                       entries: list[messages.Entry]) -> None:
@@ -267,13 +292,33 @@
         records = [
             _encode_record(self._encoder.encode(entry)) for entry in entries
         ]
-        self._log.close()
+        # If this fails, the old log is longer than needed and still valid.
         self._write_file_atomically("log", b"".join(records))
+        os.close(self._log)
         self._size_by_index = {
             entry.index: len(record) for entry, record in zip(entries, records)
         }
         self._log = self._open_log()
 
     def close(self) -> None:
-        """Closes the log file."""
-        self._log.close()
+        """Closes the log file; has no effect the second time."""
+        if self._log >= 0:
+            os.close(self._log)
+            self._log = -1
+
+
+def sync_folder(folder: pathlib.Path) -> None:
+    """Makes created, renamed and removed names of a folder durable."""
+    handle = os.open(folder, os.O_RDONLY)
+    try:
+        os.fsync(handle)
+    finally:
+        os.close(handle)
+
+
+def _write_and_sync(handle: int, content: bytes) -> None:
+    """Writes all of the content to a file and syncs it."""
+    remaining = memoryview(content)
+    while remaining:
+        remaining = remaining[os.write(handle, remaining):]
+    os.fsync(handle)
--- a/src/apricothinge/link/frames.py
+++ b/src/apricothinge/link/frames.py
@@ -329,11 +329,22 @@
 
 
 class Step(_Message, tag=16):
-    """A batch of Raft messages from another member."""
+    """A batch of Raft messages from another member.
+
+    Attributes:
+        sender: Name of the sending member.
+        disk: Identifier of its data folder.
+        messages: Messages in the order of sending.
+        receiver: Name of the receiving member, empty if the sender does not
+            name it.
+        address: "IP:port" of the sender's links, empty if unknown.
+    """
 
     sender: str
     disk: str
     messages: list[raft_messages.Message]
+    receiver: str = ""
+    address: str = ""
 
 
 class StepReply(_Message, tag=17):
--- a/src/apricothinge/mesh/control.py
+++ b/src/apricothinge/mesh/control.py
@@ -32,6 +32,8 @@
 _TICK_INTERVAL_S: Final = 0.05
 _MEMBERSHIP_INTERVAL_TICKS: Final = 4
 _JOIN_INTERVAL_TICKS: Final = 6
+# A damaged data folder is kept under this name for later inspection.
+_DAMAGED_SUFFIX: Final = ".damaged"
 # An instance that knows no leader for this long asks to join the group.
 _LEADERLESS_TIMEOUT_S: Final = 2.0
 # A leader that no quorum has confirmed for this long stops serving nodes.
@@ -97,7 +99,10 @@
                                          self._handler, self._monitor)
             link.send(self._hello)
             self._link_by_address[address] = link
-        link.send(frames.Step(batch.sender, batch.disk, batch.messages))
+        link.send(
+            frames.Step(batch.sender, batch.disk, batch.messages,
+                        batch.receiver,
+                        "" if batch.address is None else str(batch.address)))
         return rpc_messages.Ack(self.wrong_disk)
 
 
@@ -118,8 +123,8 @@
         self._monitor = connection.KeepaliveMonitor()
         self._hello = frames.Hello(control_settings.instance, incarnation)
         folder = pathlib.Path(control_settings.data)
-        file_storage = self._open_storage(folder)
-        identity = self._load_identity(folder, file_storage)
+        file_storage, damaged = self._open_storage(folder)
+        identity = self._load_identity(folder, file_storage, damaged)
         self._name = identity.name
         self._storage = file_storage
         self.state_machine = machine.MeshStateMachine()
@@ -151,25 +156,40 @@
     # Startup and shutdown.
 
     @staticmethod
-    def _open_storage(folder: pathlib.Path) -> storage.FileStorage:
+    def _open_storage(folder: pathlib.Path) -> tuple[storage.FileStorage, bool]:
+        """Opens the data folder, or an empty one if it is damaged.
+
+        Returns:
+            The storage, and whether the folder was damaged.
+        """
         try:
             file_storage = storage.FileStorage(folder)
             file_storage.load()
-            return file_storage
+            return file_storage, False
         except errors.ApricothingeError as error:
             # The instance rejoins as a new member and gets a copy of the state.
             log.event("control:storage_damaged", error=str(error))
-            shutil.rmtree(folder, ignore_errors=True)
-            return storage.FileStorage(folder)
+        damaged = folder.with_name(folder.name + _DAMAGED_SUFFIX)
+        shutil.rmtree(damaged, ignore_errors=True)
+        folder.rename(damaged)
+        storage.sync_folder(folder.parent)
+        return storage.FileStorage(folder), True
 
     def _load_identity(self, folder: pathlib.Path,
-                       file_storage: storage.FileStorage) -> _Identity:
+                       file_storage: storage.FileStorage,
+                       damaged: bool) -> _Identity:
+        """Returns the member name of this instance, a new one at first.
+
+        A damaged folder held votes and acknowledged changes. The instance must
+        not return under its old name without them.
+        """
         record = file_storage.read_record("identity")
         if record is not None:
             return msgspec.json.decode(record, type=_Identity)
         own_address = self._settings.link
         bootstrap_addresses = self._settings.control_links()
-        if self._settings.bootstrap and own_address in bootstrap_addresses:
+        if (self._settings.bootstrap and not damaged and
+                own_address in bootstrap_addresses):
             identity = _Identity(
                 own_address,
                 {address: address for address in bootstrap_addresses})
@@ -247,8 +267,11 @@
         """Handles a message from a node or another control instance."""
         if isinstance(message, frames.Step):
             ack = self.group_member.receive(
-                rpc_messages.Batch(message.sender, message.disk,
-                                   message.messages))
+                rpc_messages.Batch(
+                    message.sender, message.disk, message.messages,
+                    message.receiver,
+                    settings.parse_address(message.address)
+                    if message.address else None))
             if ack.wrong_disk:
                 link.send(frames.StepReply(True))
         elif isinstance(message, frames.StepReply):
@@ -331,7 +354,7 @@
 
     def _adjust_members(self, now: float) -> None:
         core = self.group_member.raft
-        if not core.may_change_members():
+        if not self.group_member.is_leader or not core.may_change_members():
             return
         new_members = membership.next_members(
             core.members, core.last_contact_age_s(now),
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -37,6 +37,9 @@
                 raise SimulatedCrash
         apply_write()
 
+    def probe(self):
+        pass
+
     def load(self):
         return storage.PersistentState(self.vote, self.snapshot,
                                        list(self.entries))
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -1,8 +1,11 @@
 """Tests of apricothinge.control.storage on real files."""
 
+import errno
+import os
 import pathlib
 import tempfile
 import unittest
+from unittest import mock
 
 from apricothinge import errors
 from apricothinge.control import raft_messages
@@ -16,6 +19,11 @@
     ]
 
 
+def _entry(index, term=1):
+    return raft_messages.Entry(index, term, raft_messages.EntryKind.COMMAND,
+                               b"data")
+
+
 class FileStorageTest(unittest.TestCase):
     """State read back after writes, torn writes and corruption."""
 
@@ -109,3 +117,88 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class FullDiskTest(unittest.TestCase):
+    """Any step of any write may fail because the disk is full."""
+
+    _STEPS = ("open", "write", "fsync", "rename", "ftruncate")
+
+    def _run_with_failure(self, step, calls, action):
+        """Runs an action in which one call of a step fails.
+
+        Returns:
+            Whether the action failed.
+        """
+        real = {
+            "open": os.open,
+            "write": os.write,
+            "fsync": os.fsync,
+            "rename": pathlib.Path.replace,
+            "ftruncate": os.ftruncate
+        }[step]
+        count = 0
+
+        def fail(*arguments):
+            nonlocal count
+            count += 1
+            if count == calls + 1:
+                raise OSError(errno.ENOSPC, "no space left")
+            return real(*arguments)
+
+        patched = (mock.patch.object(pathlib.Path, "replace", fail)
+                   if step == "rename" else mock.patch.object(os, step, fail))
+        with patched:
+            try:
+                action()
+            except OSError:
+                return True
+        return False
+
+    def test_each_step(self):
+        """A failed write leaves the state before it, or the whole new one."""
+        entries = [_entry(index) for index in range(1, 4)]
+        snapshot = raft_messages.Snapshot(2, 1, {}, b"state")
+        actions = {
+            "append":
+                lambda store: store.append([_entry(4), _entry(5)], None),
+            "overwrite":
+                lambda store: store.append([_entry(3, 2)], 3),
+            "vote":
+                lambda store: store.save_vote(raft_messages.Vote(7, "b")),
+            "snapshot":
+                lambda store: store.save_snapshot(snapshot, [_entry(3)]),
+        }
+        for name, action in actions.items():
+            for step in self._STEPS:
+                for calls in range(6):
+                    with self.subTest(action=name, step=step, calls=calls):
+                        self._check_step(entries, action, step, calls)
+
+    def _check_step(self, entries, action, step, calls):
+        with tempfile.TemporaryDirectory() as name:
+            folder = pathlib.Path(name)
+            store = storage.FileStorage(folder)
+            store.append(entries, None)
+            store.save_vote(raft_messages.Vote(3, "a"))
+            before = self._state(store)
+            failed = self._run_with_failure(step, calls, lambda: action(store))
+            reopened = storage.FileStorage(folder)
+            found = self._state(reopened)
+            if not failed:
+                return
+            # The same object goes on as well, once there is room again.
+            self.assertEqual(self._state(store), found)
+            action(store)
+            after = self._state(storage.FileStorage(folder))
+            if found != before:
+                # Only what follows the dropped entries may be missing.
+                self.assertIn(found[2], (before[2][:2], after[2], before[2]))
+            store.append([_entry(after[2][-1].index + 1, 9)], None)
+            self.assertEqual(
+                self._state(storage.FileStorage(folder))[2][:-1], after[2])
+
+    @staticmethod
+    def _state(store):
+        state = store.load()
+        return state.vote, state.snapshot, state.entries
