Keep links to a bounded subset of the instances of each service

Cause: each node kept a link to each other one, sent its load to all of them up to five times a second, and polled each link ten times a second for its end. The leader divided the tokens of each organisation among all nodes ten times a second, changed or not, and each node went through all organisations as often.

The end of a link is an event. Tokens are distributed and accounted only where something changed. A stale row with another address no longer drops a live peer.

--- a/src/apricothinge/mesh/node.py
+++ b/src/apricothinge/mesh/node.py
@@ -145,9 +145,10 @@
         self._router = routing.Router(node_settings.failure_domain, "", rng)
         self._monitor = connection.KeepaliveMonitor()
         self.hello = frames.Hello(node_settings.instance, incarnation)
-        self._peer_table = peers.PeerTable(node_settings.instance, self.hello,
-                                           self._monitor, self._router,
-                                           self._cost_table)
+        self._peer_table = peers.PeerTable(node_settings.instance,
+                                           node_settings.failure_domain,
+                                           self.hello, self._monitor,
+                                           self._router, self._cost_table)
         self._dispatcher = dispatch.Dispatcher(node_settings.instance,
                                                self._router, self._peer_table,
                                                self.upstream, header_names,
--- a/src/apricothinge/mesh/peers.py
+++ b/src/apricothinge/mesh/peers.py
@@ -10,6 +10,7 @@
 from apricothinge.mesh import costs
 from apricothinge.mesh import streams
 from apricothinge.overload import routing
+from apricothinge.overload import subset
 
 __all__ = ["Peer", "PeerTable"]
 
@@ -19,10 +20,11 @@
 # control is lost. It stays in the table while its own link is up, and at least
 # this long after control stopped listing it.
 _REMOVE_AFTER_S: Final = 3.0
+_CHOICE_INTERVAL_S: Final = 0.5
 
 
 class Peer(connection.LinkHandler):
-    """Another node and the link to it.
+    """Another node, and the link to it if this node keeps one.
 
     Attributes:
         row: Latest state of the node, from control or the node itself.
@@ -30,34 +32,57 @@
         load: Latest load of that upstream, or None.
         listed: Whether control lists the node.
         unlisted_at: Loop time in seconds at which control stopped listing it.
+        weight: Rank among the nodes of its service; see `subset.weight`.
+        chosen: Whether this node keeps a link to it.
+        reachable: Whether the latest attempt to connect succeeded.
     """
 
     __slots__ = ("row", "outgoing_calls", "load", "listed", "unlisted_at",
-                 "_peer_table", "_task", "_loop")
+                 "weight", "chosen", "reachable", "_peer_table", "_task",
+                 "_loop", "_link_ended")
 
-    def __init__(self, row: frames.NodeRow, peer_table: "PeerTable") -> None:
+    def __init__(self, row: frames.NodeRow, peer_table: "PeerTable",
+                 instance_weight: int) -> None:
         self._loop = asyncio.get_running_loop()
         self.row = row
         self.load: frames.Load | None = None
         self.listed = True
         self.unlisted_at = 0.0
+        self.weight = instance_weight
+        self.chosen = False
+        self.reachable = True
         self._peer_table = peer_table
         self.outgoing_calls = streams.OutgoingCalls(self._on_load)
-        self._task = asyncio.ensure_future(self._maintain_link())
+        self._task: asyncio.Task[None] | None = None
+        self._link_ended = asyncio.Event()
 
     def _on_load(self, load: frames.Load) -> None:
         self.load = load
         self._peer_table.update_load(self)
 
+    def connect(self) -> None:
+        """Opens a link, and reopens it when it is lost, until `disconnect`."""
+        self.chosen = True
+        if self._task is None:
+            self._task = asyncio.ensure_future(self._maintain_link())
+
+    def disconnect(self) -> None:
+        """Closes the link once its calls have ended."""
+        self.chosen = False
+        if not self.outgoing_calls.running:
+            self.stop()
+
     async def _maintain_link(self) -> None:
         """Opens the link, and reopens it with backoff when it is lost."""
         delay_s = _MIN_RETRY_DELAY_S
         while True:
             address = settings.parse_address(self.row.address)
+            self._link_ended.clear()
             try:
                 link = await connection.dial(address.host, address.port, self,
                                              self._peer_table.monitor)
             except OSError as error:
+                self.reachable = False
                 log.event("node:unreachable",
                           node=self.row.instance,
                           address=self.row.address,
@@ -65,9 +90,12 @@
                 await asyncio.sleep(delay_s)
                 delay_s = min(_MAX_RETRY_DELAY_S, 2 * delay_s)
                 continue
+            self.reachable = True
             delay_s = _MIN_RETRY_DELAY_S
             while not link.closed:
-                await asyncio.sleep(_MIN_RETRY_DELAY_S)
+                await self._link_ended.wait()
+                self._link_ended.clear()
+            await asyncio.sleep(delay_s)
 
     def link_opened(self, link: connection.Link) -> None:
         """Makes a new link available for calls."""
@@ -95,13 +123,18 @@
         """Fails the calls of the link and marks the node unusable."""
         if (self.outgoing_calls.link is not link and
                 self.outgoing_calls.link is not None):
+            self._link_ended.set()
             return
         self.outgoing_calls.link_lost()
         self._peer_table.update_router(self)
+        self._link_ended.set()
 
     def stop(self) -> None:
         """Aborts the link and stops reopening it."""
-        self._task.cancel()
+        self.chosen = False
+        if self._task is not None:
+            self._task.cancel()
+            self._task = None
         if self.outgoing_calls.link is not None:
             self.outgoing_calls.link.abort()
 
@@ -109,6 +142,9 @@
 class PeerTable:
     """The other nodes of the fleet, as peers of this node.
 
+    The node keeps links to some nodes of each service, and only those take part
+    in routing.
+
     Attributes:
         by_instance: Peers by instance name.
         hello: First message on each link.
@@ -117,13 +153,17 @@
     """
 
     __slots__ = ("by_instance", "hello", "monitor", "cost_table", "_router",
-                 "_own_instance", "_loop")
+                 "_own_instance", "_own_domain", "_loop", "_chosen_at",
+                 "_choice_due")
 
-    def __init__(self, own_instance: str, hello: frames.Hello,
+    def __init__(self, own_instance: str, own_domain: str, hello: frames.Hello,
                  monitor: connection.KeepaliveMonitor, router: routing.Router,
                  cost_table: costs.CostTable) -> None:
         self._loop = asyncio.get_running_loop()
         self._own_instance = own_instance
+        self._own_domain = own_domain
+        self._chosen_at = 0.0
+        self._choice_due = False
         self.hello = hello
         self.monitor = monitor
         self.cost_table = cost_table
@@ -141,18 +181,20 @@
         if row.instance == self._own_instance:
             return
         peer = self.by_instance.get(row.instance)
-        if peer is not None and peer.row.address != row.address:
+        stale = (peer is not None and row.incarnation < peer.row.incarnation)
+        if (peer is not None and not stale and peer.row.address != row.address):
             self._remove(peer)
             peer = None
         if peer is None:
-            peer = self.by_instance[row.instance] = Peer(row, self)
+            peer = self.by_instance[row.instance] = Peer(
+                row, self, subset.weight(self._own_instance, row.instance))
             log.event("node:listed", node=row.instance, address=row.address)
         peer.listed = True
-        stale = row.incarnation < peer.row.incarnation
         # Status received on the link is newer than the row from control.
         if not stale and (peer.outgoing_calls.link is None or row.incarnation
                           > peer.row.incarnation or peer.row.upstream is None):
             peer.row = row
+        self._choice_due = True
         self.update_router(peer)
 
     def mark_unlisted(self, instance: str) -> None:
@@ -179,6 +221,9 @@
 
     def update_router(self, peer: Peer) -> None:
         """Publishes a node's upstream and its availability to the router."""
+        if not peer.chosen:
+            self._router.remove(peer.row.instance)
+            return
         row = peer.row
         upstream_row = row.upstream
         now = self._loop.time()
@@ -193,8 +238,49 @@
             self._router.set_cold(row.instance, now, upstream_row.cold_s)
         self.update_load(peer)
 
+    def _choose(self) -> None:
+        """Connects to the chosen nodes of each service, and to no others."""
+        candidates_by_service: dict[str, list[subset.Candidate]] = {}
+        for peer in self.by_instance.values():
+            upstream_row = peer.row.upstream
+            if (upstream_row is None or not upstream_row.usable or
+                    peer.row.leaving):
+                continue
+            candidates_by_service.setdefault(upstream_row.service, []).append(
+                subset.Candidate(peer.row.instance,
+                                 peer.row.failure_domain == self._own_domain,
+                                 peer.reachable, peer.weight))
+        chosen: set[str] = set()
+        for candidates in candidates_by_service.values():
+            chosen |= subset.choose(candidates)
+        for peer in self.by_instance.values():
+            if peer.row.instance in chosen:
+                if not peer.chosen:
+                    peer.connect()
+                    self.update_router(peer)
+            elif peer.chosen and self._is_replaceable(peer):
+                peer.disconnect()
+                self.update_router(peer)
+            elif not peer.chosen:
+                peer.disconnect()
+
+    @staticmethod
+    def _is_replaceable(peer: Peer) -> bool:
+        """Returns whether a node need not be watched through its own link.
+
+        A node that is draining or whose upstream restarts says on its link when
+        it accepts requests again.
+        """
+        upstream_row = peer.row.upstream
+        return (upstream_row is not None and upstream_row.usable and
+                not peer.row.leaving) or not peer.listed
+
     def tick(self, now: float) -> None:
         """Updates availability by the links, and removes unlisted nodes."""
+        if self._choice_due or now - self._chosen_at >= _CHOICE_INTERVAL_S:
+            self._choice_due = False
+            self._chosen_at = now
+            self._choose()
         for peer in list(self.by_instance.values()):
             if (not peer.listed and peer.outgoing_calls.link is None and
                     now - peer.unlisted_at > _REMOVE_AFTER_S):
--- a/src/apricothinge/mesh/token_server.py
+++ b/src/apricothinge/mesh/token_server.py
@@ -90,7 +90,8 @@
     """
 
     __slots__ = ("_window_by_name", "_orphaned_by_name", "_node_by_instance",
-                 "_expected_instances", "_started_at", "_restarted_instances")
+                 "_expected_instances", "_started_at", "_restarted_instances",
+                 "_changed_names")
 
     def __init__(self, now: float) -> None:
         """Starts for a new term; `now` is from `tokens.boottime_s`."""
@@ -100,10 +101,16 @@
         self._expected_instances: set[str] = set()
         self._restarted_instances: set[str] = set()
         self._started_at = now
+        # Organisations whose tokens may have to be distributed again.
+        self._changed_names: set[str] = set()
 
     def set_windows(self, window_by_name: dict[str, float]) -> None:
         """Sets the tokens of each organisation in a window."""
         self._window_by_name = window_by_name
+        self._mark_all_changed()
+
+    def _mark_all_changed(self) -> None:
+        self._changed_names.update(self._window_by_name)
 
     def attach(self, now: float, instance: str, incarnation: int,
                available: dict[str, int], recent_spends: dict[str, int],
@@ -126,6 +133,7 @@
         for name in available.keys() | recent_spends.keys():
             node.allocation_by_name[name] = _Allocation(
                 available.get(name, 0), recent_spends.get(name, 0))
+        self._mark_all_changed()
         if now - self._started_at < tokens.LEASE_S:
             self._expected_instances.update(peers)
             if known is None and not peers:
@@ -143,6 +151,7 @@
         if node is None:
             return
         node.attached = False
+        self._mark_all_changed()
         if ended:
             self._orphan_tokens(now, node)
             del self._node_by_instance[instance]
@@ -167,6 +176,7 @@
         if node is None:
             return
         node.last_heard_at = now
+        self._changed_names.update(counts)
         for name, (spent, expired, returned, demand) in counts.items():
             allocation = node.allocation(name)
             newly_spent = spent - allocation.spent
@@ -185,8 +195,11 @@
             if not node.attached and (now - node.last_heard_at
                                       > tokens.LEASE_S + tokens.WINDOW_S):
                 del self._node_by_instance[instance]
+                self._mark_all_changed()
         for name, orphaned in list(self._orphaned_by_name.items()):
             remaining = [row for row in orphaned if row[0] > now]
+            if len(remaining) < len(orphaned):
+                self._changed_names.add(name)
             if remaining:
                 self._orphaned_by_name[name] = remaining
             else:
@@ -253,8 +266,13 @@
         }
         if not nodes:
             return granted
-        for name, window in self._window_by_name.items():
-            if not self._prefetches(window):
+        if now - self._started_at <= tokens.LEASE_S + tokens.WINDOW_S:
+            # What is reserved for missing nodes changes with time.
+            self._mark_all_changed()
+        changed_names, self._changed_names = self._changed_names, set()
+        for name in changed_names:
+            window = self._window_by_name.get(name)
+            if window is None or not self._prefetches(window):
                 continue
             free = self._free(now, name, window)
             if free >= 1:
@@ -292,6 +310,7 @@
             remaining -= given
             nodes[instance].allocation(name).outstanding += given
             granted.setdefault(instance, {})[name] = given
+            self._changed_names.add(name)
 
     def request(self, now: float, instance: str, name: str, count: int) -> int:
         """Allocates tokens to a node that has run out, and returns how many.
@@ -316,4 +335,5 @@
             prefetch = min(int(free / 4), int(self._node_limit(window) / 2))
         given = min(int(free), max(1, count, prefetch))
         node.allocation(name).outstanding += given
+        self._changed_names.add(name)
         return given
--- a/src/apricothinge/mesh/tokens.py
+++ b/src/apricothinge/mesh/tokens.py
@@ -28,6 +28,8 @@
 _SERVER_WINDOW_FACTOR: Final = 1.07
 _SERVER_WINDOW_EXTRA: Final = 12.0
 _DETACHED_FRACTION: Final = 0.03
+# Requests per second below which a demand is no longer followed.
+_NEGLIGIBLE_DEMAND: Final = 0.01
 _DEMAND_GAIN: Final = 0.3
 
 
@@ -81,6 +83,12 @@
         self.recent_spends: collections.deque[float] = collections.deque()
         self.recent_excess = 0
 
+    @property
+    def idle(self) -> bool:
+        """Whether nothing about it changes with time."""
+        return not (self.requests or self.recent_spends or
+                    self.demand > _NEGLIGIBLE_DEMAND)
+
 
 class TokenPool:
     """Enforces the rates of the organisations at one node.
@@ -90,13 +98,16 @@
             of requests allowed without a server.
     """
 
-    __slots__ = ("nodes", "_account_by_name", "_lease_until", "_ticked_at")
+    __slots__ = ("nodes", "_account_by_name", "_lease_until", "_ticked_at",
+                 "_tick_inputs")
 
     def __init__(self, now: float) -> None:
         self.nodes = 0
         self._account_by_name: dict[str, _Account] = {}
         self._lease_until = 0.0
         self._ticked_at = now
+        self._tick_inputs: tuple[documents.CompiledDocument | None, bool,
+                                 int] = (None, False, 0)
 
     def _account(self, now: float, name: str) -> _Account:
         account = self._account_by_name.get(name)
@@ -201,8 +212,14 @@
             return
         self._ticked_at = now
         gain = 1.0 - math.exp(-span_s * _DEMAND_GAIN * 2)
+        inputs = (compiled, has_grants, self.nodes)
+        changed = inputs != self._tick_inputs
+        self._tick_inputs = inputs
         for name, organisation in compiled.organisation_by_name.items():
             account = self._account(now, name)
+            # In a large fleet most organisations have no callers here.
+            if not changed and account.idle:
+                continue
             account.demand += gain * (account.requests / span_s -
                                       account.demand)
             account.requests = 0
