Let a restarted node go by its peers while control is out of reach

Change: a node without a desired state that has not reached control within a second of its start asks up to three nodes that hold links to it. They answer with the state they go by, the nodes they know, and their number, by which the rates without a server are divided. Control's state replaces it as soon as it is reached; states only ever move forward.

Result: test_restart_without_control failed before; test_restart_prefers_control shows that peers are not asked where control answers.

--- a/src/apricothinge/link/frames.py
+++ b/src/apricothinge/link/frames.py
@@ -377,9 +377,30 @@
     members: list[str]
 
 
+class StateRequest(_Message, tag=23):
+    """Asks a node for the desired state, as control cannot be reached."""
+
+
+class StateOffer(_Message, tag=24):
+    """Answers a StateRequest with what the node itself goes by.
+
+    Attributes:
+        revision: Revision of the desired state in force.
+        document: Compressed desired state.
+        rows: Nodes known to the sender, including itself.
+        node_count: Number of nodes in the fleet.
+    """
+
+    revision: int
+    document: bytes
+    rows: list[NodeRow]
+    node_count: int
+
+
 Frame = Union[Hello, Ping, Pong, Call, Data, Credit, Cancel, ResponseHead,
               Refusal, Abort, Status, Attach, Redirect, Report, Update, Step,
-              StepReply, Join, Joined, TokenRequest, TokenGrant, Costs]
+              StepReply, Join, Joined, TokenRequest, TokenGrant, Costs,
+              StateRequest, StateOffer]
 
 _ENCODER: Final = msgspec.msgpack.Encoder()
 _DECODER: Final[Any] = msgspec.msgpack.Decoder(Frame)
--- a/src/apricothinge/mesh/node.py
+++ b/src/apricothinge/mesh/node.py
@@ -36,6 +36,11 @@
 _MAX_BUFFERED_RESPONSE_BYTES: Final = 256 << 10
 # A changed load is sent to the other nodes at most this often.
 _STATUS_INTERVAL_TICKS: Final = 10
+_STATE_REQUEST_INTERVAL_TICKS: Final = 25
+# A node attaches to control within this time of its start if control can be
+# reached. Other nodes may have an older state than control.
+_CONTROL_PRECEDENCE_S: Final = 1.0
+_STATE_SOURCES: Final = 3
 # Smaller changes, of the requests relative to the slots or of the capacity
 # ratio, are not sent: nodes that make calls receive the load with each
 # response.
@@ -96,7 +101,10 @@
 
     def message_received(self, link: connection.Link,
                          message: frames.Frame) -> None:
-        """Handles a message that belongs to a call."""
+        """Handles a message that belongs to a call, or a desired state."""
+        if isinstance(message, frames.StateOffer):
+            self._node.accept_offer(message)
+            return
         self._node.incoming_calls.message_received(link, message)
 
     def link_lost(self, link: connection.Link) -> None:
@@ -188,6 +196,9 @@
         self._ticks = 0
         self._sent_load: frames.Load | None = None
         self._applied_document: documents.CompiledDocument | None = None
+        self._peer_table.make_offer = self._make_offer
+        self._started_at = self._loop.time()
+        self._rng = rng
 
     @property
     def ready(self) -> bool:
@@ -277,6 +288,8 @@
                 message = self._local_costs.message()
                 for link in self.incoming_calls.links:
                     link.send(message)
+        if self._ticks % _STATE_REQUEST_INTERVAL_TICKS == 0:
+            self._request_state(now)
         if self._ticks % _STATUS_INTERVAL_TICKS == 0:
             if self._load_changed(self.upstream.load()):
                 self._send_status()
@@ -284,6 +297,44 @@
             self._pool.expire(now)
             self.state.crash_table.tick(now)
 
+    def _request_state(self, now: float) -> None:
+        """Asks other nodes for the desired state if control is out of reach.
+
+        A node that restarts in a failure domain that is cut off from control
+        would otherwise serve nothing until the end of the cut.
+        """
+        if (self.state.compiled is not None or self._attachment.attached_to or
+                now - self._started_at < _CONTROL_PRECEDENCE_S):
+            return
+        links = [
+            link for link in self.incoming_calls.links
+            if not link.is_suspect(now)
+        ]
+        for link in self._rng.sample(links, min(_STATE_SOURCES, len(links))):
+            link.send(frames.StateRequest())
+
+    def _make_offer(self) -> frames.StateOffer | None:
+        """Returns the desired state and the nodes that this node goes by."""
+        compiled = self.state.compiled
+        if compiled is None:
+            return None
+        rows = [peer.row for peer in self._peer_table.by_instance.values()]
+        return frames.StateOffer(compiled.revision,
+                                 documents.pack(compiled.document),
+                                 rows + [self._row_builder.build()],
+                                 self.state.token_pool.nodes)
+
+    def accept_offer(self, offer: frames.StateOffer) -> None:
+        """Goes by the state of another node until control is reached."""
+        if self._attachment.attached_to or not self.state.install(
+                documents.CompiledDocument(offer.revision,
+                                           documents.unpack(offer.document))):
+            return
+        log.event("state:from_node", revision=offer.revision)
+        self.state.token_pool.nodes = offer.node_count
+        for row in offer.rows:
+            self._peer_table.update_row(row)
+
     def _load_changed(self, load: frames.Load) -> bool:
         """Tells whether the load differs enough from the one last sent."""
         sent_load = self._sent_load
--- a/src/apricothinge/mesh/peers.py
+++ b/src/apricothinge/mesh/peers.py
@@ -1,6 +1,7 @@
 """Table of the other nodes, the links to them and their availability."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Final
 
 from apricothinge import log
@@ -112,6 +113,11 @@
         if isinstance(message, frames.Costs):
             self._peer_table.cost_table.put(message)
             return
+        if isinstance(message, frames.StateRequest):
+            offer = self._peer_table.make_offer()
+            if offer is not None:
+                link.send(offer)
+            return
         if isinstance(message, frames.Hello):
             if message.instance != self.row.instance:
                 # The address now belongs to another instance.
@@ -156,11 +162,13 @@
         hello: First message on each link.
         monitor: Checks the links for silent peers.
         cost_table: Costs of requests, as published by the peers.
+        make_offer: Returns what to send to a node that knows no desired state,
+            or None if this one knows none either.
     """
 
-    __slots__ = ("by_instance", "hello", "monitor", "cost_table", "_router",
-                 "_own_instance", "_own_domain", "_loop", "_chosen_at",
-                 "_choice_due")
+    __slots__ = ("by_instance", "hello", "monitor", "cost_table", "make_offer",
+                 "_router", "_own_instance", "_own_domain", "_loop",
+                 "_chosen_at", "_choice_due")
 
     def __init__(self, own_instance: str, own_domain: str, hello: frames.Hello,
                  monitor: connection.KeepaliveMonitor, router: routing.Router,
@@ -175,6 +183,7 @@
         self.cost_table = cost_table
         self._router = router
         self.by_instance: dict[str, Peer] = {}
+        self.make_offer: Callable[[], frames.StateOffer | None] = _no_offer
 
     @property
     def link_count(self) -> int:
@@ -321,3 +330,8 @@
         """Stops all peers."""
         for peer in self.by_instance.values():
             peer.stop()
+
+
+def _no_offer() -> frames.StateOffer | None:
+    """Default of `PeerTable.make_offer`."""
+    return None
--- a/tests/mesh_fleet.py
+++ b/tests/mesh_fleet.py
@@ -7,6 +7,8 @@
 import tempfile
 import time
 
+import msgspec
+
 from apricothinge import settings
 from apricothinge.mesh import control
 from apricothinge.mesh import names
@@ -177,6 +179,22 @@
         self.nodes.append(mesh_node)
         self.upstreams.append(upstream)
 
+    async def restart_node(self, index):
+        """Replaces the process of a node by a new one at its addresses."""
+        old = self.nodes[index]
+        await old.stop()
+        restarted = node.MeshNode(
+            msgspec.structs.replace(old._settings,
+                                    caller=str(old.caller),
+                                    link=str(old.link)), NAMES,
+            random.Random(100 + index))
+        await restarted.start()
+        restarted.upstream.check_in(
+            mesh_builders.check_in(f"u{index}",
+                                   sequence=9,
+                                   service=restarted.state.service))
+        self.nodes[index] = restarted
+
     async def apply(self, document, base=None):
         """Applies a desired state and waits until all nodes have it."""
         text = b"version %d" % document.version
--- a/tests/test_mesh_nodes.py
+++ b/tests/test_mesh_nodes.py
@@ -392,6 +392,43 @@
         self.assertFalse(self.mesh.nodes[0].ready)
         self.assertEqual((await self.mesh.send_request())[0], 503)
 
+    async def test_restart_without_control(self):
+        """A node that restarts while control is away goes by its peers."""
+        await self.mesh.start(services=("s", "s", "t"),
+                              document=_keyed_document(rate_per_s=1000.0,
+                                                       burst=1000.0))
+        await self.mesh.control.stop()
+        await self.mesh.restart_node(2)
+        node = self.mesh.nodes[2]
+        self.assertFalse(node.ready)
+        await self.mesh.wait_until(lambda: node.ready)
+        self.assertEqual(node.state.revision, self.mesh.nodes[0].state.revision)
+        # Without it, the node would take the rates of the fleet for its own.
+        self.assertEqual(node.state.token_pool.nodes, 3)
+        await self.mesh.wait_until(
+            lambda: len(node._router.by_instance) == 3 and not any(
+                row.draining for row in node._router.by_instance.values()))
+        status, _, _ = await self.mesh.send_request(index=2,
+                                                    headers=[
+                                                        (mesh_fleet.NAMES.key,
+                                                         _KEY)
+                                                    ])
+        self.assertEqual(status, 200)
+        await self.mesh.start_control()
+
+    async def test_restart_prefers_control(self):
+        """Where control is reached, a node does not ask its peers.
+
+        They may not yet know that a key was revoked.
+        """
+        await self.mesh.start(services=("s", "t"), document=_keyed_document())
+        with mock.patch.object(self.mesh.nodes[0], "_make_offer") as make_offer:
+            self.mesh.nodes[0]._peer_table.make_offer = make_offer
+            await self.mesh.restart_node(1)
+            await self.mesh.wait_until(lambda: self.mesh.nodes[1].ready)
+            await asyncio.sleep(1.5)
+            make_offer.assert_not_called()
+
     async def test_graceful_stop(self):
         """A stopping node is not ready, but still serves new requests."""
         await self.mesh.start()
