Answer what was accepted before a planned stop ends

A connection that was accepted in the loop iteration in which a server of asyncio was closed is never set up (Server._attach asserts that it still listens), so its caller waited for an answer. A session that was cancelled before its first step left its connection open. The last exchanges of a stop were aborted at once.

Change: web/listener.py accepts connections itself and sets up all of them before the stop goes on; the caller server drains for 0.2 s before it aborts. A response of the upstream at its deadline goes before one of the entry node. A cancelled admission no longer counts as a run of no length. The only instance of a service is not ejected, and a new incarnation inherits no back-off. Content too large is 413 for operators. The own interface rejects dot segments and encoded slashes and allows HEAD where GET is. A missing settings file is an error message. The exchange of states between nodes has its own module.

--- a/src/apricothinge/lists.py
+++ b/src/apricothinge/lists.py
@@ -60,9 +60,13 @@
         return is_idempotent_method(method)
 
     def matches(self, method: str, path: str) -> bool:
-        """Whether a request matches the methods and the path prefix."""
-        return method in self.methods and _has_path_prefix(
-            path, self.path_prefix)
+        """Whether a request matches the methods and the path prefix.
+
+        HEAD is allowed where GET is.
+        """
+        allowed = method in self.methods or (method == "HEAD" and
+                                             "GET" in self.methods)
+        return allowed and _has_path_prefix(path, self.path_prefix)
 
 
 class OpenRoute(Route,
--- a/src/apricothinge/mesh/admission_queue.py
+++ b/src/apricothinge/mesh/admission_queue.py
@@ -163,6 +163,10 @@
         self.running -= 1
         self._hold_s += _HOLD_TIME_GAIN * (held_s - self._hold_s)
 
+    def return_slot(self) -> None:
+        """Frees the slot of a ticket that was admitted and did not run."""
+        self.running -= 1
+
     def admit_waiting(self) -> list[Ticket]:
         """Takes free slots for waiting tickets and returns those tickets."""
         started = []
--- a/src/apricothinge/mesh/dispatch.py
+++ b/src/apricothinge/mesh/dispatch.py
@@ -23,6 +23,9 @@
 # nodes are most likely overloaded as well.
 _MAX_REFUSALS: Final = 3
 _MIN_REMAINING_S: Final = 0.02
+# An upstream that enforces the deadline itself responds shortly after it, and
+# its response goes before one of this node.
+_RESPONSE_SLACK_S: Final = 0.1
 _RETRY_AFTER_S: Final = 0.5
 _FAILURE_STATUSES: Final = (500, 502)
 
@@ -218,7 +221,8 @@
             self, late_response: streams.LateResponse,
             upstream_request: upstream.UpstreamRequest) -> messages.Response:
         try:
-            async with asyncio.timeout_at(upstream_request.deadline):
+            async with asyncio.timeout_at(upstream_request.deadline +
+                                          _RESPONSE_SLACK_S):
                 return await late_response.wait()
         except TimeoutError:
             raise errors.CallError(
@@ -300,7 +304,8 @@
             raise client.RequestNotSent(
                 f"{target.instance} is no longer in the fleet")
         try:
-            async with asyncio.timeout_at(upstream_request.deadline):
+            async with asyncio.timeout_at(upstream_request.deadline +
+                                          _RESPONSE_SLACK_S):
                 return await peer.outgoing_calls.call(
                     upstream_request,
                     hedged=(upstream_request.call.idempotent and
--- a/src/apricothinge/mesh/entry.py
+++ b/src/apricothinge/mesh/entry.py
@@ -41,8 +41,6 @@
 # evenly over its length.
 _RATE_LIMIT_RETRY_S: Final = 0.5
 _DEADLINE: Final = re.compile(rb"[0-9]{1,18}")
-# Such a path could leave the prefix by which its route is chosen.
-_UNSAFE_PATH: Final = re.compile(r"(^|/)\.{1,2}(/|$)|%2f|%5c|%2e", re.I)
 
 
 class EntryHandler(server.Handler):
@@ -197,10 +195,7 @@
     def _find_route(self, compiled: documents.CompiledDocument,
                     request: messages.Request) -> documents.Route:
         path = request.path
-        if _UNSAFE_PATH.search(path):
-            raise errors.CallError(
-                errors.Kind.MALFORMED_REQUEST,
-                "the path contains a dot segment or an encoded dot or slash")
+        messages.check_path(path)
         host = messages.header(request.headers, b"host") or b""
         route = compiled.find_route(host.decode("latin-1"), path)
         if route is None:
--- a/src/apricothinge/mesh/node.py
+++ b/src/apricothinge/mesh/node.py
@@ -1,6 +1,7 @@
 """The process of a mesh node: servers, ticks, graceful shutdown and dump."""
 
 import asyncio
+import contextlib
 import random
 import time
 from typing import Final
@@ -21,6 +22,7 @@
 from apricothinge.mesh import names
 from apricothinge.mesh import peers
 from apricothinge.mesh import state
+from apricothinge.mesh import state_exchange
 from apricothinge.mesh import streams
 from apricothinge.mesh import upstream
 from apricothinge.overload import routing
@@ -37,10 +39,6 @@
 # A changed load is sent to the other nodes at most this often.
 _STATUS_INTERVAL_TICKS: Final = 10
 _STATE_REQUEST_INTERVAL_TICKS: Final = 25
-# A node attaches to control within this time of its start if control can be
-# reached. Other nodes may have an older state than control.
-_CONTROL_PRECEDENCE_S: Final = 1.0
-_STATE_SOURCES: Final = 3
 # Smaller changes, of the requests relative to the slots or of the capacity
 # ratio, are not sent: nodes that make calls receive the load with each
 # response.
@@ -50,6 +48,7 @@
 # refused as not run.
 _MIN_DRAIN_S: Final = 3.2
 _DRAIN_POLL_INTERVAL_S: Final = 0.05
+_FINAL_DRAIN_S: Final = 0.2
 # The rest of the grace period is left for the process to exit.
 _GRACE_FRACTION: Final = 0.95
 
@@ -103,7 +102,7 @@
                          message: frames.Frame) -> None:
         """Handles a message that belongs to a call, or a desired state."""
         if isinstance(message, frames.StateOffer):
-            self._node.accept_offer(message)
+            self._node.state_exchange.accept(message)
             return
         self._node.incoming_calls.message_received(link, message)
 
@@ -123,6 +122,7 @@
         upstream: The local upstream.
         hello: First message on each link.
         incoming_calls: Calls from other nodes to the local upstream.
+        state_exchange: Desired state from and for other nodes.
         caller: Bound address of the port for callers.
         link: Bound address of the port for links of other nodes.
     """
@@ -196,9 +196,9 @@
         self._ticks = 0
         self._sent_load: frames.Load | None = None
         self._applied_document: documents.CompiledDocument | None = None
-        self._peer_table.make_offer = self._make_offer
-        self._started_at = self._loop.time()
-        self._rng = rng
+        self.state_exchange = state_exchange.StateExchange(
+            self.state, self._peer_table, self._attachment, self.incoming_calls,
+            self._row_builder, rng)
 
     @property
     def ready(self) -> bool:
@@ -289,7 +289,7 @@
                 for link in self.incoming_calls.links:
                     link.send(message)
         if self._ticks % _STATE_REQUEST_INTERVAL_TICKS == 0:
-            self._request_state(now)
+            self.state_exchange.request()
         if self._ticks % _STATUS_INTERVAL_TICKS == 0:
             if self._load_changed(self.upstream.load()):
                 self._send_status()
@@ -297,44 +297,6 @@
             self._pool.expire(now)
             self.state.crash_table.tick(now)
 
-    def _request_state(self, now: float) -> None:
-        """Asks other nodes for the desired state if control is out of reach.
-
-        A node that restarts in a failure domain that is cut off from control
-        would otherwise serve nothing until the end of the cut.
-        """
-        if (self.state.compiled is not None or self._attachment.attached_to or
-                now - self._started_at < _CONTROL_PRECEDENCE_S):
-            return
-        links = [
-            link for link in self.incoming_calls.links
-            if not link.is_suspect(now)
-        ]
-        for link in self._rng.sample(links, min(_STATE_SOURCES, len(links))):
-            link.send(frames.StateRequest())
-
-    def _make_offer(self) -> frames.StateOffer | None:
-        """Returns the desired state and the nodes that this node goes by."""
-        compiled = self.state.compiled
-        if compiled is None:
-            return None
-        rows = [peer.row for peer in self._peer_table.by_instance.values()]
-        return frames.StateOffer(compiled.revision,
-                                 documents.pack(compiled.document),
-                                 rows + [self._row_builder.build()],
-                                 self.state.token_pool.nodes)
-
-    def accept_offer(self, offer: frames.StateOffer) -> None:
-        """Goes by the state of another node until control is reached."""
-        if self._attachment.attached_to or not self.state.install(
-                documents.CompiledDocument(offer.revision,
-                                           documents.unpack(offer.document))):
-            return
-        log.event("state:from_node", revision=offer.revision)
-        self.state.token_pool.nodes = offer.node_count
-        for row in offer.rows:
-            self._peer_table.update_row(row)
-
     def _load_changed(self, load: frames.Load) -> bool:
         """Tells whether the load differs enough from the one last sent."""
         sent_load = self._sent_load
@@ -418,6 +380,10 @@
         await self._attachment.stop()
         if self._tick_task is not None:
             self._tick_task.cancel()
+        # Callers that have just sent a request still get their response.
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_FINAL_DRAIN_S):
+                await self._caller_server.drain()
         self._caller_server.abort()
         self._admin_server.abort()
         self._peer_table.stop()
--- a/src/apricothinge/mesh/upstream.py
+++ b/src/apricothinge/mesh/upstream.py
@@ -314,7 +314,8 @@
             admitted = await waiter
         except asyncio.CancelledError:
             if waiter.done() and not waiter.cancelled() and waiter.result():
-                self._release(self._loop.time())
+                self._queue.return_slot()
+                self.process_queue()
             self._queue.cancel(ticket)
             raise
         if not admitted:
--- a/src/apricothinge/node/entry.py
+++ b/src/apricothinge/node/entry.py
@@ -94,6 +94,7 @@
     def _authorise(self, key: str | None,
                    request: messages.Request) -> _Authorisation:
         """Authorises a request against the lists in force."""
+        messages.check_path(request.path)
         compiled = self._state.compiled
         if compiled is None:
             raise errors.CallError(errors.Kind.ISOLATED,
--- a/src/apricothinge/overload/routing.py
+++ b/src/apricothinge/overload/routing.py
@@ -145,6 +145,8 @@
             return
         if upstream.incarnation != known.incarnation:
             known.started_at = upstream.started_at
+            known.latency_s = _INITIAL_LATENCY_S
+            known.ejections = 0
             known.failures = 0
             known.ejected_until = 0.0
             known.admitted_fraction = 1.0
@@ -294,6 +296,8 @@
     def _may_eject(self, now: float, service: str) -> bool:
         # If all instances are slow, ejection would only shift the load.
         instances = self._by_service[service]
+        if len(instances) == 1:
+            return False
         ejected = sum(upstream.ejected_until > now for upstream in instances)
         return ejected + 1 <= max(1, len(instances) * _MAX_EJECTED_FRACTION)
 
--- a/src/apricothinge/platform/handlers.py
+++ b/src/apricothinge/platform/handlers.py
@@ -19,6 +19,7 @@
 _STATUS_BY_KIND: Final = {
     errors.Kind.VERSION_CONFLICT: 412,
     errors.Kind.CONFIGURATION_INVALID: 400,
+    errors.Kind.CONTENT_TOO_LARGE: 413,
 }
 
 
--- a/src/apricothinge/platform/process.py
+++ b/src/apricothinge/platform/process.py
@@ -81,7 +81,9 @@
                            return_when=asyncio.FIRST_COMPLETED)
         changed = settings_file.read_if_changed()
         if changed is not None or reload_requested.is_set():
-            log.event("settings:reloaded", signal=reload_requested.is_set())
+            log.event("settings:reloaded",
+                      signal=reload_requested.is_set(),
+                      changed=changed is not None)
             reload_requested.clear()
         if changed is not None:
             apply_settings(changed)
@@ -137,10 +139,10 @@
     """
     log.start_nonblocking()
     settings_file = _SettingsFile(
-        pathlib.Path(os.environ[wire.SETTINGS_PATH_VARIABLE]))
+        pathlib.Path(os.environ.get(wire.SETTINGS_PATH_VARIABLE, "")))
     try:
         loaded = settings_file.read()
-    except errors.ApricothingeError as error:
+    except (errors.ApricothingeError, OSError) as error:
         print(str(error), file=sys.stderr)
         sys.exit(runtime.EXIT_SETTINGS_INVALID)
     try:
--- a/src/apricothinge/web/messages.py
+++ b/src/apricothinge/web/messages.py
@@ -3,17 +3,19 @@
 import asyncio
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
 import math
+import re
 
 from apricothinge import errors
 from apricothinge import keys
 
 __all__ = [
     "Body", "Content", "Headers", "Request", "Response", "abandon",
-    "end_to_end", "header"
+    "check_path", "end_to_end", "header"
 ]
 
 Headers = list[tuple[bytes, bytes]]
 
+_UNSAFE_PATH = re.compile(r"(^|/)\.{1,2}(/|$)|%2f|%5c|%2e", re.I)
 _HOP_BY_HOP = frozenset(
     (b"connection", b"keep-alive", b"proxy-connection", b"transfer-encoding",
      b"te", b"trailer", b"upgrade", b"content-length", b"expect",
@@ -33,6 +35,18 @@
     return None
 
 
+def check_path(path: str) -> None:
+    """Rejects a path that could leave the prefix by which its route is chosen.
+
+    Raises:
+        errors.CallError: MALFORMED_REQUEST.
+    """
+    if _UNSAFE_PATH.search(path):
+        raise errors.CallError(
+            errors.Kind.MALFORMED_REQUEST,
+            "the path contains a dot segment or an encoded dot or slash")
+
+
 def end_to_end(headers: Headers) -> Headers:
     """Returns the headers that do not depend on one connection or address."""
     connection_options: set[bytes] = set()
--- a/src/apricothinge/web/server.py
+++ b/src/apricothinge/web/server.py
@@ -13,6 +13,7 @@
 from apricothinge import errors
 from apricothinge import settings
 from apricothinge.web import connection
+from apricothinge.web import listener
 from apricothinge.web import messages
 from apricothinge.web import pipeline
 from apricothinge.web import wire
@@ -83,9 +84,9 @@
         draining: Whether each response closes its connection.
     """
 
-    __slots__ = ("_handler", "_limits", "_server", "_sessions", "draining",
+    __slots__ = ("_handler", "_limits", "_listener", "_sessions", "draining",
                  "_idle_connections", "_cancel_on_half_close", "_loop",
-                 "_connections", "_input_age_s")
+                 "_connections", "_input_age_s", "_aborted")
 
     def __init__(self,
                  handler: Handler,
@@ -105,7 +106,7 @@
         """
         self._handler = handler
         self._limits = limits
-        self._server: asyncio.Server | None = None
+        self._listener: listener.Listener | None = None
         self._sessions: set[asyncio.Task[None]] = set()
         self._idle_connections: set[connection.Connection] = set()
         self._cancel_on_half_close = cancel_on_half_close
@@ -113,6 +114,7 @@
         self._loop = asyncio.get_running_loop()
         self._connections: set[connection.Connection] = set()
         self.draining = False
+        self._aborted = False
 
     @property
     def busy_connections(self) -> int:
@@ -134,15 +136,12 @@
 
     async def start(self, address: settings.Address) -> settings.Address:
         """Starts listening and returns the address with the bound port."""
-        self._server = await self._loop.create_server(
+        self._listener = listener.Listener(
+            address,
             lambda: connection.Connection(True, self._limits.header_bytes, self.
-                                          _start_session, self._input_age_s),
-            address.host,
-            address.port,
-            backlog=1024)
+                                          _start_session, self._input_age_s))
         self._loop.call_later(_TIMEOUT_SWEEP_INTERVAL_S, self._check_timeouts)
-        port = self._server.sockets[0].getsockname()[1]
-        return settings.Address(address.host, port)
+        return self._listener.address
 
     def _check_timeouts(self) -> None:
         """Times out waits; runs until the last connection has been drained."""
@@ -154,7 +153,7 @@
                                   self._check_timeouts)
 
     def _start_session(self, conn: connection.Connection) -> None:
-        if len(self._sessions) >= self._limits.connections:
+        if self._aborted or len(self._sessions) >= self._limits.connections:
             conn.abort()
             return
         self._connections.add(conn)
@@ -170,8 +169,9 @@
                 requests.
         """
         self.draining = True
-        if self._server is not None:
-            self._server.close()
+        if self._listener is not None:
+            self._listener.close()
+            await self._listener.wait_closed()
         if idle_grace_s and self._sessions:
             await asyncio.wait(list(self._sessions), timeout=idle_grace_s)
         for conn in list(self._idle_connections):
@@ -182,10 +182,14 @@
     def abort(self) -> None:
         """Stops at once and aborts the exchanges in progress."""
         self.draining = True
-        if self._server is not None:
-            self._server.close()
+        if self._listener is not None:
+            self._listener.close()
+        self._aborted = True
         for task in list(self._sessions):
             task.cancel()
+        # A session that has not run yet is cancelled without any clean-up.
+        for conn in list(self._connections):
+            conn.abort()
 
     async def _run_session(self, conn: connection.Connection) -> None:
         requests = pipeline.Pipeline(
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -115,6 +115,15 @@
                 await self._assert_rejected(head.format(method, target, field),
                                             code, status)
 
+    async def test_paths_that_leave_their_prefix(self):
+        """Dot segments and encoded slashes are rejected, not resolved."""
+        for path in ("/stock/42/../../metrics", "/stock/./1", "/stock/..",
+                     "/stock/%2e%2e/metrics", "/stock/x%2Fy", "/stock/x%5cy"):
+            with self.subTest(path):
+                await self._assert_rejected(
+                    _HEAD.replace("/stock/1", path) +
+                    "Connection: close\r\n\r\n", "malformed_request", 400)
+
     async def test_forged_context(self):
         """A context sealed with another secret grants no access."""
         other = context.ContextCodec("another secret of some length")
@@ -198,6 +207,13 @@
         self.assertLess(received.rindex(b"/stock/first"),
                         received.index(b"/stock/1 "))
 
+    async def test_head_where_get_is_allowed(self):
+        """HEAD is answered like GET, without the content."""
+        text = (_HEAD + "Connection: close\r\n\r\n").replace("GET", "HEAD")
+        reply = await self._send(text)
+        self.assertEqual(200, reply.status)
+        self.assertEqual(b"", reply.content)
+
     async def test_open_route(self):
         """An open route needs no key and has its own rate limit."""
         text = "GET /open HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
--- a/tests/test_mesh_decisions.py
+++ b/tests/test_mesh_decisions.py
@@ -93,6 +93,15 @@
             queue.offer(0.0, admission_queue.Ticket(0, 0.1, 0.0))
         self.assertGreater(caught.exception.wait_s, 0.1)
 
+    def test_returned_slot(self):
+        """A ticket that never ran says nothing about how long others run."""
+        queue = admission_queue.AdmissionQueue()
+        queue.slots = 10
+        queue.offer(0.0, admission_queue.Ticket(1, 1.0, 0.0))
+        hold_s = queue.hold_s
+        queue.return_slot()
+        self.assertEqual((queue.running, queue.hold_s), (0, hold_s))
+
     def test_expired(self):
         """An expired request is removed and does not run later."""
         queue = self._queue(slots=1)
--- a/tests/test_mesh_nodes.py
+++ b/tests/test_mesh_nodes.py
@@ -422,8 +422,8 @@
         They may not yet know that a key was revoked.
         """
         await self.mesh.start(services=("s", "t"), document=_keyed_document())
-        with mock.patch.object(self.mesh.nodes[0], "_make_offer") as make_offer:
-            self.mesh.nodes[0]._peer_table.make_offer = make_offer
+        with mock.patch.object(self.mesh.nodes[0]._peer_table,
+                               "make_offer") as make_offer:
             await self.mesh.restart_node(1)
             await self.mesh.wait_until(lambda: self.mesh.nodes[1].ready)
             await asyncio.sleep(1.5)
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -361,6 +361,36 @@
         self.router.by_instance["i0"].draining = True
         self.assertEqual({"i1"}, self._picks())
 
+    def test_only_instance(self):
+        """The only instance of a service is never ejected."""
+        router = routing.Router("a", "r", random.Random(1))
+        only = routing.Upstream("i", "s", "a", "r",
+                                settings.Address("127.0.0.1", 1), False, 1, 0.0)
+        router.upsert(only)
+        for _ in range(10):
+            router.record_sent(only)
+            router.record_failure(0.0, only, eject_now=True)
+        self.assertTrue(only.is_available(0.1))
+
+    def test_new_incarnation(self):
+        """A new process inherits neither latency nor back-off."""
+        known = self.router.by_instance["i0"]
+        known.latency_s = 9.0
+        known.ejections = 5
+        self.router.upsert(
+            routing.Upstream("i0", "s", "a", "r",
+                             settings.Address("127.0.0.1", 1), False, 2, 0.0))
+        self.assertLess(known.latency_s, 1.0)
+        self.assertEqual(known.ejections, 0)
+
+    def test_suspect_instance(self):
+        """A suspect instance is picked only if there is no other one."""
+        for name in ("i0", "i1", "i2"):
+            self.router.by_instance[name].suspect = True
+        self.assertEqual({"i3"}, self._picks())
+        self.router.by_instance["i3"].suspect = True
+        self.assertLessEqual({"i0", "i1"}, self._picks())
+
     def test_ejection_and_its_bound(self):
         """Failing instances are ejected, at most half of them."""
         for upstream in list(self.router.by_instance.values()):
