--- a/src/apricothinge/overload/routing.py
+++ b/src/apricothinge/overload/routing.py
@@ -215,9 +215,7 @@
         healthy = [
             upstream for upstream in candidates if upstream.is_available(now)
         ]
-        responsive = [
-            upstream for upstream in healthy if not upstream.suspect
-        ]
+        responsive = [upstream for upstream in healthy if not upstream.suspect]
         nearest = self._prefer_nearest(responsive or healthy or candidates)
         if len(nearest) == 1:
             return nearest[0]
