--- a/src/apricothinge/mesh/streams.py
+++ b/src/apricothinge/mesh/streams.py
@@ -147,7 +147,7 @@
         head: The head of its response.
         reader: The content of its response.
         window: Content that may be sent.
-        hedged: Whether its caller is told when the other node falls silent.
+        hedged: Whether PeerSilent is raised when the other node falls silent.
     """
 
     __slots__ = ("link", "head", "reader", "window", "hedged")
@@ -227,7 +227,7 @@
             outgoing.link is link for outgoing in self._call_by_stream.values())
 
     def notice_silence(self) -> None:
-        """Tells the callers of hedged calls that the node has fallen silent."""
+        """Raises PeerSilent in the hedged calls, which continue to run."""
         for outgoing in list(self._call_by_stream.values()):
             if outgoing.hedged and not outgoing.head.done():
                 outgoing.hedged = False
--- a/src/apricothinge/overload/subset.py
+++ b/src/apricothinge/overload/subset.py
@@ -5,9 +5,9 @@
 
 __all__ = ["Candidate", "choose", "weight"]
 
-# With links to all, a node of a fleet of two hundred spent more on probes and
-# load reports than on calls. Two random choices out of a dozen instances
-# balance about as well as out of all of them.
+# The less loaded of two random instances is picked for each call, which needs
+# only a few instances to balance well. Probes and load reports of links to all
+# instances would grow with the square of the fleet.
 _MAX_LOCAL: Final = 8
 # These take over when the own failure domain is full or has no instance.
 _MAX_REMOTE: Final = 6
--- a/src/apricothinge/runtime.py
+++ b/src/apricothinge/runtime.py
@@ -17,7 +17,7 @@
 EXIT_STORAGE_FAILED: Final = 3
 
 _GC_THRESHOLD: Final = (20000, 20, 20)
-# Longer than the loop of a loaded process is ever held up.
+# Shorter gaps are ordinary delays of a loaded event loop.
 _MIN_PAUSE_S: Final = 0.25
 
 
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -127,8 +127,7 @@
         self.assertTrue(link.closed)
 
     async def test_own_pause(self):
-        """The silence while this process stood still is not held against its
-        peers."""
+        """A pause of this process does not count as silence of its peers."""
         link = await self._link()
         now = link.last_received_at
         link.check_liveness(now + 0.6)
