Ask about pipelining only when a request is pipelined, and read one clock

Cause, found on reading the change again: each request looked up its route twice, once to decide whether others may start behind it, which matters only to callers that pipeline. PauseClock read the boot time in a copy of tokens.boottime_s, and two writers of whole files repeated the same steps.

Change: the pipeline asks the handler once another request has arrived; runtime.boottime_s serves both; storage._write_file serves both. No behaviour changes, and no assertion of a test; the tests of tokens patch the clock at its new place.

--- a/src/apricothinge/control/storage.py
+++ b/src/apricothinge/control/storage.py
@@ -160,12 +160,7 @@
         path = self._folder / name
         temporary = path.with_suffix(".new")
         try:
-            handle = os.open(temporary, os.O_WRONLY | os.O_TRUNC | os.O_CREAT,
-                             0o644)
-            try:
-                _write_and_sync(handle, content)
-            finally:
-                os.close(handle)
+            _write_file(temporary, content)
             temporary.replace(path)
         except OSError:
             temporary.unlink(missing_ok=True)
@@ -174,11 +169,9 @@
 
     def probe(self) -> None:
         path = self._folder / "probe"
-        handle = os.open(path, os.O_WRONLY | os.O_TRUNC | os.O_CREAT, 0o644)
         try:
-            _write_and_sync(handle, bytes(_PROBE_BYTES))
+            _write_file(path, bytes(_PROBE_BYTES))
         finally:
-            os.close(handle)
             path.unlink(missing_ok=True)
 
     def _read_record_file(self, name: str) -> bytes | None:
@@ -316,6 +309,15 @@
         os.close(handle)
 
 
+def _write_file(path: pathlib.Path, content: bytes) -> None:
+    """Writes a whole file and syncs it, but not its name."""
+    handle = os.open(path, os.O_WRONLY | os.O_TRUNC | os.O_CREAT, 0o644)
+    try:
+        _write_and_sync(handle, content)
+    finally:
+        os.close(handle)
+
+
 def _write_and_sync(handle: int, content: bytes) -> None:
     """Writes all of the content to a file and syncs it."""
     remaining = memoryview(content)
--- a/src/apricothinge/mesh/attachment.py
+++ b/src/apricothinge/mesh/attachment.py
@@ -6,13 +6,13 @@
 from typing import Final
 
 from apricothinge import log
+from apricothinge import runtime
 from apricothinge import settings
 from apricothinge.link import connection
 from apricothinge.link import frames
 from apricothinge.mesh import documents
 from apricothinge.mesh import peers
 from apricothinge.mesh import state
-from apricothinge.mesh import tokens
 from apricothinge.mesh import upstream
 
 __all__ = ["Attachment"]
@@ -155,7 +155,7 @@
 
     def _make_report(self) -> frames.Report:
         self._sequence += 1
-        self._sent_at_by_sequence[self._sequence] = tokens.boottime_s()
+        self._sent_at_by_sequence[self._sequence] = runtime.boottime_s()
         row = self._row_builder.build()
         changed_row = None if row == self._sent_row else row
         self._sent_row = row
--- a/src/apricothinge/mesh/hub.py
+++ b/src/apricothinge/mesh/hub.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from apricothinge import log
+from apricothinge import runtime
 from apricothinge.link import connection
 from apricothinge.link import frames
 from apricothinge.mesh import documents
@@ -90,7 +91,7 @@
         self._attached_node_by_link: dict[connection.Link, _AttachedNode] = {}
         self._table_version = 0
         self._started_at = self._loop.time()
-        self._token_server = token_server.TokenServer(tokens.boottime_s())
+        self._token_server = token_server.TokenServer(runtime.boottime_s())
         self._crash_reports: list[tuple[str, str]] = []
         self._seen_crash_reports: set[tuple[str, str]] = set()
         self._granted_at = 0.0
@@ -122,7 +123,7 @@
                 old_link.abort()
         self._attached_node_by_link[link] = _AttachedNode(
             instance, message.revision, 0)
-        self._token_server.attach(tokens.boottime_s(), instance,
+        self._token_server.attach(runtime.boottime_s(), instance,
                                   message.row.incarnation, message.tokens_held,
                                   message.recent_spends, message.peers)
         self._update_row(message.row)
@@ -161,7 +162,7 @@
                                            message.revision)
         if message.row is not None:
             self._update_row(message.row)
-        self._token_server.report(tokens.boottime_s(), attached_node.instance,
+        self._token_server.report(runtime.boottime_s(), attached_node.instance,
                                   message.tokens)
         for crash_report in message.crashes:
             if crash_report not in self._seen_crash_reports:
@@ -175,7 +176,7 @@
         attached_node = self._attached_node_by_link.get(link)
         if attached_node is None:
             return
-        count = self._token_server.request(tokens.boottime_s(),
+        count = self._token_server.request(runtime.boottime_s(),
                                            attached_node.instance, message.name,
                                            message.count)
         link.send(frames.TokenGrant({message.name: count}))
@@ -186,7 +187,7 @@
         if attached_node is None:
             return
         entry = self._entry_by_instance.get(attached_node.instance)
-        self._token_server.detach(tokens.boottime_s(), attached_node.instance,
+        self._token_server.detach(runtime.boottime_s(), attached_node.instance,
                                   entry is not None and entry.row.leaving)
         if entry is not None:
             entry.disconnected_at = self._loop.time()
@@ -211,13 +212,13 @@
             self._granted_at = now
             self._send_grants()
         if not self._grants_announced and self._token_server.is_ready(
-                tokens.boottime_s()):
+                runtime.boottime_s()):
             self._grants_announced = True
             self._mark_all_due()
         self.send_updates()
 
     def _send_grants(self) -> None:
-        now = tokens.boottime_s()
+        now = runtime.boottime_s()
         self._token_server.expire(now)
         tokens_by_instance = self._token_server.grant(now)
         if not tokens_by_instance:
@@ -266,7 +267,7 @@
         return frames.Update(attached_node.last_sequence,
                              self._state_machine.revision, document, rows,
                              removed, complete, len(self.rows()),
-                             self._token_server.is_ready(tokens.boottime_s()),
+                             self._token_server.is_ready(runtime.boottime_s()),
                              self._member_addresses(), crash_reports)
 
     def stop(self, redirect: frames.Redirect) -> None:
--- a/src/apricothinge/mesh/token_server.py
+++ b/src/apricothinge/mesh/token_server.py
@@ -94,7 +94,7 @@
                  "_changed_names")
 
     def __init__(self, now: float) -> None:
-        """Starts for a new term; `now` is from `tokens.boottime_s`."""
+        """Starts for a new term; `now` is from `runtime.boottime_s`."""
         self._window_by_name: dict[str, float] = {}
         self._orphaned_by_name: dict[str, list[tuple[float, int]]] = {}
         self._node_by_instance: dict[str, _Node] = {}
--- a/src/apricothinge/mesh/tokens.py
+++ b/src/apricothinge/mesh/tokens.py
@@ -10,13 +10,13 @@
 
 import collections
 import math
-import time
 from typing import Final
 
+from apricothinge import runtime
 from apricothinge.mesh import documents
 from apricothinge.rates import limiter
 
-__all__ = ["LEASE_S", "TokenPool", "WINDOW_S", "boottime_s", "window_tokens"]
+__all__ = ["LEASE_S", "TokenPool", "WINDOW_S", "window_tokens"]
 
 # Length of the sliding window in which a rate and its burst are enforced.
 WINDOW_S: Final = 5.0
@@ -33,11 +33,6 @@
 _DEMAND_GAIN: Final = 0.3
 
 
-def boottime_s() -> float:
-    """Returns the time of a clock that also runs during system suspend."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 def _nominal_window_tokens(organisation: documents.Organisation) -> float:
     return organisation.rate_per_s * WINDOW_S + organisation.burst
 
@@ -130,7 +125,7 @@
         """Extends the lease on the tokens after the server confirmed a report.
 
         Args:
-            reported_at: `boottime_s` at which the confirmed report was sent.
+            reported_at: `runtime.boottime_s` at which the confirmed report was sent.
         """
         self._lease_until = max(self._lease_until, reported_at + LEASE_S)
 
@@ -171,7 +166,7 @@
 
     def _expire_lease(self) -> None:
         """Releases unspent tokens that the server may have reclaimed."""
-        if boottime_s() < self._lease_until:
+        if runtime.boottime_s() < self._lease_until:
             return
         for account in self._account_by_name.values():
             account.returned += account.available
@@ -255,7 +250,7 @@
         account = self._account(now, organisation.name)
         if not account.available:
             self._expire_spends(account, now, has_grants)
-        if account.available and boottime_s() < self._lease_until:
+        if account.available and runtime.boottime_s() < self._lease_until:
             account.available -= 1
             account.spent += 1
             account.recent_spends.append(now)
--- a/src/apricothinge/runtime.py
+++ b/src/apricothinge/runtime.py
@@ -9,7 +9,7 @@
 from apricothinge import log
 
 __all__ = [
-    "EXIT_SETTINGS_INVALID", "EXIT_STORAGE_FAILED", "PauseClock",
+    "EXIT_SETTINGS_INVALID", "EXIT_STORAGE_FAILED", "PauseClock", "boottime_s",
     "run_periodically", "tune_gc"
 ]
 
@@ -21,6 +21,11 @@
 _MIN_PAUSE_S: Final = 0.25
 
 
+def boottime_s() -> float:
+    """Returns the time of a clock that also runs during system suspend."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class PauseClock:
     """Bounds how long input that is read now may have waited unread.
 
@@ -31,20 +36,15 @@
     __slots__ = ("_ticked_at",)
 
     def __init__(self) -> None:
-        self._ticked_at = self._now()
-
-    @staticmethod
-    def _now() -> float:
-        # Unlike the clock of the event loop, it counts suspension.
-        return time.clock_gettime(time.CLOCK_BOOTTIME)
+        self._ticked_at = boottime_s()
 
     def tick(self) -> None:
         """Records that the process runs; called several times a second."""
-        self._ticked_at = self._now()
+        self._ticked_at = boottime_s()
 
     def input_age_s(self) -> float:
         """Returns the longest time in seconds that input may have waited."""
-        age_s = self._now() - self._ticked_at
+        age_s = boottime_s() - self._ticked_at
         return age_s if age_s > _MIN_PAUSE_S else 0.0
 
 
--- a/src/apricothinge/web/pipeline.py
+++ b/src/apricothinge/web/pipeline.py
@@ -42,11 +42,12 @@
     client sends them again.
 
     Attributes:
-        permitted: Whether the request in progress lets its successors start.
+        first: The request behind which others may start if the handler permits
+            it as well, or None. The handler is asked only once others arrive.
     """
 
-    __slots__ = ("permitted", "_conn", "_build", "_may_start", "_start",
-                 "_started", "_closing")
+    __slots__ = ("first", "_conn", "_build", "_may_start", "_start", "_started",
+                 "_closing")
 
     def __init__(
         self, conn: connection.Connection, build: Callable[[wire.MessageHead],
@@ -63,7 +64,7 @@
             may_start: Whether a request may start before its turn.
             start: Starts the handler of a request.
         """
-        self.permitted = False
+        self.first: messages.Request | None = None
         self._conn = conn
         self._build = build
         self._may_start = may_start
@@ -77,7 +78,7 @@
 
     def advance(self) -> None:
         """Starts the received requests that need not wait for their turn."""
-        if not self.permitted:
+        if self.first is None:
             return
         codec = self._conn.codec
         while len(self._started) < _MAX_STARTED and not self._closing:
@@ -89,7 +90,7 @@
             except errors.CallError:
                 # The session rejects it in its turn.
                 return
-            if not self._may_start(request):
+            if not (self._may_start(self.first) and self._may_start(request)):
                 return
             codec.take_request()
             self._closing = not head.keep_alive
@@ -106,6 +107,6 @@
 
     async def close(self) -> None:
         """Cancels the started requests and discards their responses."""
-        self.permitted = False
+        self.first = None
         while self._started:
             await messages.abandon(self._started.popleft().task)
--- a/src/apricothinge/web/server.py
+++ b/src/apricothinge/web/server.py
@@ -251,7 +251,7 @@
             request = started.request
             running: _Running = started.task
         else:
-            requests.permitted = False
+            requests.first = None
             try:
                 event = await self._read_head(conn)
                 if not isinstance(event, wire.MessageHead):
@@ -261,9 +261,8 @@
                 await self._reject(conn, error)
                 return False
             self._attach_content(conn, request)
-            requests.permitted = (event.keep_alive and
-                                  request.body.length == 0 and
-                                  self._handler.may_run_ahead(request))
+            if event.keep_alive and request.body.length == 0:
+                requests.first = request
             running = self._handler.handle(request)
         requests.advance()
         response = await self._run_handler(conn, running)
--- a/tests/test_mesh_decisions.py
+++ b/tests/test_mesh_decisions.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies
 import msgspec
 
+from apricothinge import runtime
 from apricothinge.mesh import admission_queue
 from apricothinge.mesh import documents
 from apricothinge.mesh import machine
@@ -261,7 +262,7 @@
             name = f"n{index}"
             pool = pools[index]
             server.expire(now)
-            with mock.patch.object(tokens, "boottime_s", return_value=now):
+            with mock.patch.object(runtime, "boottime_s", return_value=now):
                 if action == "grant":
                     for instance, row in server.grant(now).items():
                         receiver = int(instance[1])
@@ -302,7 +303,7 @@
         refused_at = []
         for step in range(0, 1500):
             now = step / 100
-            with mock.patch.object(tokens, "boottime_s", return_value=now):
+            with mock.patch.object(runtime, "boottime_s", return_value=now):
                 pool = pools[step % 4]
                 attached = now < 8.0
                 if attached and step % 10 == 0:
@@ -335,7 +336,7 @@
     def setUp(self):
         self.pool = tokens.TokenPool(0.0)
         self.organisation = mesh_builders.organisation()
-        self.pool.renew_lease(tokens.boottime_s())
+        self.pool.renew_lease(runtime.boottime_s())
 
     def test_spends_available(self):
         """Each token admits one request."""
@@ -346,7 +347,7 @@
     def test_lease_expired(self):
         """Unspent tokens are released when their lease has expired."""
         pool = tokens.TokenPool(0.0)
-        pool.renew_lease(tokens.boottime_s() - tokens.LEASE_S - 1.0)
+        pool.renew_lease(runtime.boottime_s() - tokens.LEASE_S - 1.0)
         pool.add({"o": 2}, 0.0)
         self.assertFalse(pool.take(0.1, self.organisation, True))
         self.assertEqual(pool.available(), {})
@@ -354,7 +355,7 @@
     def test_attach_after_lease_expired(self):
         """Tokens of an expired lease are neither reported nor returned."""
         pool = tokens.TokenPool(0.0)
-        pool.renew_lease(tokens.boottime_s() - tokens.LEASE_S - 1.0)
+        pool.renew_lease(runtime.boottime_s() - tokens.LEASE_S - 1.0)
         pool.add({"o": 5}, 0.0)
         pool.reset_counts()
         self.assertEqual(pool.available(), {})
