Tell a torn write of several log entries from a corrupt log

What callers could see: a control member that kept its disk through a loss of power comes back as a new, empty member. If another disk is lost at the same moment, which the deployment allows, the group has no quorum: no request is served and the acknowledged state does not come back. Cause: several entries are written in one write, one record each. Of an unsynced write any part may be missing. An intact record behind a missing one was taken for proof that synced data was corrupt. Evidence: test_torn_write_of_several_entries failed before with storage_damaged (byte 48), for parts missing at the start of the last write. Change: each record names its position in its write. A record proves corruption only if its write started behind the broken one. The checksum covers length and position, as zeros passed for an empty record. Records of the previous format are read as before.

--- a/src/apricothinge/control/storage.py
+++ b/src/apricothinge/control/storage.py
@@ -17,6 +17,9 @@
 
 _MAGIC: Final = b"\xa7LR1"
 _RECORD_HEADER: Final = struct.Struct("<4sII")
+_LOG_MAGIC: Final = b"\xa7LR2"
+_LOG_HEADER: Final = struct.Struct("<4sIII")
+_MAGIC_PREFIX: Final = b"\xa7LR"
 _MAX_RECORD_BYTES: Final = 256 << 20
 _DISK_ID_BYTES: Final = 8
 # Room for a desired state of some hundred routes.
@@ -95,7 +98,7 @@
         return None
     magic, length, checksum = _RECORD_HEADER.unpack_from(data, offset)
     start = offset + _RECORD_HEADER.size
-    if (magic != _MAGIC or length > _MAX_RECORD_BYTES or
+    if (magic != _MAGIC or not length or length > _MAX_RECORD_BYTES or
             start + length > len(data)):
         return None
     payload = data[start:start + length]
@@ -104,6 +107,51 @@
     return payload, start + length
 
 
+def _log_checksum(payload: bytes, position: int) -> int:
+    # A zeroed header must not pass for an empty record.
+    return zlib.crc32(payload, zlib.crc32(b"%d %d" % (len(payload), position)))
+
+
+def _encode_log_records(payloads: list[bytes]) -> list[bytes]:
+    """Returns the records of one write to the log.
+
+    Each names its position in the write, which tells a torn write from a
+    corrupt log.
+    """
+    records = []
+    position = 0
+    for payload in payloads:
+        record = _LOG_HEADER.pack(_LOG_MAGIC, len(payload), position,
+                                  _log_checksum(payload, position)) + payload
+        records.append(record)
+        position += len(record)
+    return records
+
+
+def _decode_log_record(data: bytes,
+                       offset: int) -> tuple[bytes, int, int] | None:
+    """Decodes the log record at an offset.
+
+    Returns:
+        Its payload, its end and the offset at which its write started; None if
+        the record is not intact. Records of earlier versions of the format do
+        not name their write and count as one write each.
+    """
+    if not data.startswith(_LOG_MAGIC, offset):
+        decoded = _decode_record(data, offset)
+        return None if decoded is None else (*decoded, offset)
+    if offset + _LOG_HEADER.size > len(data):
+        return None
+    _, length, position, checksum = _LOG_HEADER.unpack_from(data, offset)
+    start = offset + _LOG_HEADER.size
+    if length > _MAX_RECORD_BYTES or start + length > len(data):
+        return None
+    payload = data[start:start + length]
+    if _log_checksum(payload, position) != checksum:
+        return None
+    return payload, start + length, offset - position
+
+
 class FileStorage(Storage):
     """Keeps the files `disk`, `vote`, `snapshot` and `log` in one data folder.
 
@@ -201,6 +249,8 @@
     def load(self) -> PersistentState:
         """Reads the persisted state and truncates a torn write at the end.
 
+        Of a torn write, any part may be missing.
+
         Raises:
             errors.ApricothingeError: STORAGE_DAMAGED for any corruption other
                 than an incomplete last write of the log.
@@ -220,11 +270,11 @@
         self._size_by_index = {}
         entries: list[messages.Entry] = []
         while offset < len(data):
-            decoded = _decode_record(data, offset)
+            decoded = _decode_log_record(data, offset)
             if decoded is None:
                 self._truncate_torn_tail(data, offset)
                 break
-            payload, end = decoded
+            payload, end, _ = decoded
             entry = self._entry_decoder.decode(payload)
             self._size_by_index[entry.index] = end - offset
             entries.append(entry)
@@ -240,14 +290,16 @@
     def _truncate_torn_tail(self, data: bytes, offset: int) -> None:
         """Truncates the log at an incomplete last write.
 
-        An intact record after the offset shows that older data is corrupt,
-        which raises an error instead.
+        A write starts only once all before it are synced. An intact record of
+        a write that started after the offset therefore shows that synced data
+        is corrupt, which raises an error instead.
         """
-        position = data.find(_MAGIC, offset + 1)
+        position = data.find(_MAGIC_PREFIX, offset + 1)
         while position != -1:
-            if _decode_record(data, position) is not None:
+            decoded = _decode_log_record(data, position)
+            if decoded is not None and decoded[2] > offset:
                 raise self._corruption_error("log", offset)
-            position = data.find(_MAGIC, position + 1)
+            position = data.find(_MAGIC_PREFIX, position + 1)
         os.ftruncate(self._log, offset)
         os.fsync(self._log)
 
@@ -258,9 +310,8 @@
                replace_from: int | None) -> None:
         if replace_from is not None:
             self._truncate_from(replace_from)
-        records = [
-            _encode_record(self._encoder.encode(entry)) for entry in entries
-        ]
+        records = _encode_log_records(
+            [self._encoder.encode(entry) for entry in entries])
         length = os.fstat(self._log).st_size
         try:
             _write_and_sync(self._log, b"".join(records))
@@ -282,9 +333,8 @@
     def save_snapshot(self, snapshot: messages.Snapshot,
                       entries: list[messages.Entry]) -> None:
         self._write_record_file("snapshot", self._encoder.encode(snapshot))
-        records = [
-            _encode_record(self._encoder.encode(entry)) for entry in entries
-        ]
+        records = _encode_log_records(
+            [self._encoder.encode(entry) for entry in entries])
         # If this fails, the old log is longer than needed and still valid.
         self._write_file_atomically("log", b"".join(records))
         os.close(self._log)
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -3,9 +3,13 @@
 import errno
 import os
 import pathlib
+import struct
 import tempfile
 import unittest
 from unittest import mock
+import zlib
+
+import msgspec
 
 from apricothinge import errors
 from apricothinge.control import raft_messages
@@ -102,6 +106,54 @@
             self.assertIs(errors.Kind.STORAGE_DAMAGED, caught.exception.kind)
             self.assertEqual(bytes(corrupt), (self.path / "log").read_bytes())
 
+    def test_torn_write_of_several_entries(self):
+        """A write is torn wherever a part of it is missing, not only its end.
+
+        Other parts of the same write, also intact entries, may be there.
+        """
+        store = self._open()
+        store.append(_entries(2), None)
+        synced_size = len((self.path / "log").read_bytes())
+        store.append(_entries(3, first=3), None)
+        log_content = (self.path / "log").read_bytes()
+        for start in range(synced_size, len(log_content)):
+            for size in (1, 16, 40):
+                torn = bytearray(log_content)
+                end = min(len(torn), start + size)
+                torn[start:end] = bytes(end - start)
+                if torn == log_content:
+                    continue
+                (self.path / "log").write_bytes(torn)
+                store = self._open()
+                found = [entry.index for entry in store.load().entries]
+                self.assertIn(found, ([1, 2], [1, 2, 3], [1, 2, 3, 4]))
+                store.append([_entry(found[-1] + 1)], None)
+                store.close()
+                self.assertEqual(found + [found[-1] + 1],
+                                 [e.index for e in self._open().load().entries])
+
+    def test_log_of_previous_version(self):
+        """Entries written one record each, without a position, are read."""
+        encoder = msgspec.msgpack.Encoder()
+        log_content = b""
+        for entry in _entries(3):
+            payload = encoder.encode(entry)
+            log_content += struct.pack("<4sII", b"\xa7LR1", len(payload),
+                                       zlib.crc32(payload)) + payload
+        self._open().close()
+        (self.path / "log").write_bytes(log_content)
+        store = self._open()
+        store.load()
+        store.append(_entries(1, first=4), None)
+        self.assertEqual([1, 2, 3, 4],
+                         [entry.index for entry in self._open().load().entries])
+        for position in range(len(log_content) // 3):
+            corrupt = bytearray(log_content)
+            corrupt[position] ^= 0xFF
+            (self.path / "log").write_bytes(corrupt)
+            with self.assertRaises(errors.ApricothingeError):
+                self._open().load()
+
     def test_corrupt_vote_or_snapshot(self):
         """A truncated vote or snapshot file raises an error."""
         store = self._open()
