--- a/src/apricothinge/control/storage.py
+++ b/src/apricothinge/control/storage.py
@@ -261,10 +261,13 @@
         snapshot_payload = self._read_record_file("snapshot")
         snapshot = (None if snapshot_payload is None else
                     self._snapshot_decoder.decode(snapshot_payload))
-        entries = self._load_log(0 if snapshot is None else snapshot.index)
+        entries = self._load_log()
+        if snapshot is not None:
+            entries = self._drop_replaced(entries, snapshot)
+        self._check_sequence(0 if snapshot is None else snapshot.index, entries)
         return PersistentState(vote, snapshot, entries)
 
-    def _load_log(self, after: int) -> list[messages.Entry]:
+    def _load_log(self) -> list[messages.Entry]:
         data = (self._folder / "log").read_bytes()
         offset = 0
         self._size_by_index = {}
@@ -279,13 +282,28 @@
             self._size_by_index[entry.index] = end - offset
             entries.append(entry)
             offset = end
-        kept = [entry for entry in entries if entry.index > after]
-        expected = after + 1
-        for entry in kept:
+        return entries
+
+    def _drop_replaced(self, entries: list[messages.Entry],
+                       snapshot: messages.Snapshot) -> list[messages.Entry]:
+        """Returns the entries that follow the snapshot.
+
+        After a crash between the two writes of `save_snapshot`, the log may
+        still be one that conflicts with the snapshot and has been replaced.
+        """
+        if any(entry.index == snapshot.index and entry.term != snapshot.term
+               for entry in entries):
+            os.ftruncate(self._log, 0)
+            os.fsync(self._log)
+            self._size_by_index = {}
+            return []
+        return [entry for entry in entries if entry.index > snapshot.index]
+
+    def _check_sequence(self, after: int,
+                        entries: list[messages.Entry]) -> None:
+        for expected, entry in enumerate(entries, after + 1):
             if entry.index != expected:
                 raise self._corruption_error("log", 0)
-            expected += 1
-        return kept
 
     def _truncate_torn_tail(self, data: bytes, offset: int) -> None:
         """Truncates the log at an incomplete last write.
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -14,6 +14,7 @@
 from apricothinge import errors
 from apricothinge.control import raft_messages
 from apricothinge.control import storage
+from tests import fakes
 
 
 def _entries(count, first=1):
@@ -154,6 +155,53 @@
             with self.assertRaises(errors.ApricothingeError):
                 self._open().load()
 
+    def test_conflicting_log_after_crash_during_snapshot(self):
+        """A snapshot replaces a conflicting log, also across a crash.
+
+        With the old entries, the member would appear to have an older log
+        than it acknowledged, and vote for a candidate that lacks entries.
+        """
+        snapshot = raft_messages.Snapshot(2, 5, {}, b"state")
+        for rename_count in range(3):
+            with self.subTest(renames=rename_count):
+                self._open().close()
+                for path in self.path.iterdir():
+                    path.unlink()
+                store = self._open()
+                store.append([_entry(index) for index in (1, 2, 3)], None)
+                self._crash_after_renames(
+                    rename_count,
+                    lambda store=store: store.save_snapshot(snapshot, []))
+                store = self._open()
+                loaded = store.load()
+                if loaded.snapshot is None:
+                    self.assertEqual([1, 1, 1],
+                                     [entry.term for entry in loaded.entries])
+                    continue
+                self.assertEqual([], loaded.entries)
+                store.append([_entry(3, 5), _entry(4, 6)], None)
+                self.assertEqual([5, 6],
+                                 [e.term for e in self._open().load().entries])
+
+    @staticmethod
+    def _crash_after_renames(count, action):
+        """Runs an action that crashes when it renames once more."""
+        replace = pathlib.Path.replace
+        remaining = count
+
+        def crash(path, target):
+            nonlocal remaining
+            if not remaining:
+                raise fakes.SimulatedCrash
+            remaining -= 1
+            return replace(path, target)
+
+        with mock.patch.object(pathlib.Path, "replace", crash):
+            try:
+                action()
+            except fakes.SimulatedCrash:
+                pass
+
     def test_corrupt_vote_or_snapshot(self):
         """A truncated vote or snapshot file raises an error."""
         store = self._open()
