--- a/src/apricothinge/control/storage.py
+++ b/src/apricothinge/control/storage.py
@@ -176,13 +176,20 @@
         folder.mkdir(parents=True, exist_ok=True)
         sync_folder(folder.parent)
         self.disk_id = self._load_disk_id()
-        self._log = self._open_log()
+        self._log = -1
+        self._reopen_log()
         sync_folder(self._folder)
 
     def _open_log(self) -> int:
         return os.open(self._folder / "log",
                        os.O_WRONLY | os.O_APPEND | os.O_CREAT, 0o644)
 
+    def _reopen_log(self) -> None:
+        """Opens the file that has the log's name now."""
+        reopened = self._open_log()
+        self.close()
+        self._log = reopened
+
     def _corruption_error(self, name: str,
                           offset: int) -> errors.ApricothingeError:
         return errors.ApricothingeError(
@@ -255,6 +262,8 @@
             errors.ApricothingeError: STORAGE_DAMAGED for any corruption other
                 than an incomplete last write of the log.
         """
+        # A failed save_snapshot may have replaced the file.
+        self._reopen_log()
         vote_payload = self._read_record_file("vote")
         vote = (messages.Vote(0, "") if vote_payload is None else
                 self._vote_decoder.decode(vote_payload))
@@ -355,11 +364,10 @@
             [self._encoder.encode(entry) for entry in entries])
         # If this fails, the old log is longer than needed and still valid.
         self._write_file_atomically("log", b"".join(records))
-        os.close(self._log)
         self._size_by_index = {
             entry.index: len(record) for entry, record in zip(entries, records)
         }
-        self._log = self._open_log()
+        self._reopen_log()
 
     def close(self) -> None:
         """Closes the log file; has no effect the second time."""
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -275,6 +275,29 @@
                     with self.subTest(action=name, step=step, calls=calls):
                         self._check_step(entries, action, step, calls)
 
+    def test_append_after_failed_sync_of_folder(self):
+        """Entries go to the log that is read, whichever step has failed.
+
+        A member whose disk was full loads its state again and goes on.
+        """
+        snapshot = raft_messages.Snapshot(2, 1, {}, b"state")
+        for step in self._STEPS:
+            for calls in range(8):
+                with (self.subTest(step=step,
+                                   calls=calls), tempfile.TemporaryDirectory()
+                      as name):
+                    folder = pathlib.Path(name)
+                    store = storage.FileStorage(folder)
+                    store.append([_entry(index) for index in (1, 2, 3)], None)
+                    self._run_with_failure(step,
+                                           calls,
+                                           lambda store=store: store.
+                                           save_snapshot(snapshot, [_entry(3)]))
+                    store.load()
+                    store.append([_entry(4)], None)
+                    loaded = storage.FileStorage(folder).load()
+                    self.assertEqual(4, loaded.entries[-1].index)
+
     def _check_step(self, entries, action, step, calls):
         with tempfile.TemporaryDirectory() as name:
             folder = pathlib.Path(name)
