Set damaged files aside inside the data folder

What callers could see: where the data folder is a mount point, a control member whose files are damaged ends again and again, and one allowed loss of a disk more leaves the group without a quorum. Cause: the whole folder was renamed, which a mount point refuses with EBUSY. Whether a folder had been damaged was also forgotten if the process ended in between, so that a member could return under its name without its vote. Evidence: test_damaged_folder_that_cannot_be_renamed failed before with that error. Change: the files are renamed in place, first the identity, and a marker that is synced before keeps the member from its old name for good. test_damaged_folder expects the log under its new name; it checks as much as before.

--- a/src/apricothinge/control/storage.py
+++ b/src/apricothinge/control/storage.py
@@ -13,7 +13,10 @@
 from apricothinge import errors
 from apricothinge.control import raft_messages as messages
 
-__all__ = ["FileStorage", "PersistentState", "Storage", "sync_folder"]
+__all__ = [
+    "FileStorage", "PersistentState", "Storage", "set_files_aside",
+    "were_files_set_aside"
+]
 
 _MAGIC: Final = b"\xa7LR1"
 _RECORD_HEADER: Final = struct.Struct("<4sII")
@@ -22,6 +25,10 @@
 _MAGIC_PREFIX: Final = b"\xa7LR"
 _MAX_RECORD_BYTES: Final = 256 << 20
 _DISK_ID_BYTES: Final = 8
+# Added to the names of damaged files, which are kept for later inspection.
+_DAMAGED_SUFFIX: Final = ".damaged"
+# An empty file that shows that files have been set aside.
+_DAMAGED_MARKER: Final = "damaged"
 # Room for a desired state of some hundred routes.
 _PROBE_BYTES: Final = 256 << 10
 
@@ -174,11 +181,11 @@
         self._snapshot_decoder = msgspec.msgpack.Decoder(messages.Snapshot)
         self._size_by_index: dict[int, int] = {}
         folder.mkdir(parents=True, exist_ok=True)
-        sync_folder(folder.parent)
+        _sync_folder(folder.parent)
         self.disk_id = self._load_disk_id()
         self._log = -1
         self._reopen_log()
-        sync_folder(self._folder)
+        _sync_folder(self._folder)
 
     def _open_log(self) -> int:
         return os.open(self._folder / "log",
@@ -220,7 +227,7 @@
         except OSError:
             temporary.unlink(missing_ok=True)
             raise
-        sync_folder(self._folder)
+        _sync_folder(self._folder)
 
     def probe(self) -> None:
         path = self._folder / "probe"
@@ -376,7 +383,35 @@
             self._log = -1
 
 
-def sync_folder(folder: pathlib.Path) -> None:
+def set_files_aside(folder: pathlib.Path, identity: str) -> None:
+    """Renames all files of a damaged data folder, so that it can be reused.
+
+    The folder keeps its name, as it may be a mount point.
+
+    Args:
+        folder: The data folder.
+        identity: Name of the file that gives the others their meaning. It is
+            renamed first, so that a crash leaves no usable part of them.
+    """
+    _write_file(folder / _DAMAGED_MARKER, b"")
+    _sync_folder(folder)
+    paths = [
+        path for path in folder.iterdir()
+        if path.name != _DAMAGED_MARKER and path.suffix != _DAMAGED_SUFFIX
+    ]
+    for path in sorted(paths, key=lambda path: path.name != identity):
+        path.rename(path.with_name(path.name + _DAMAGED_SUFFIX))
+        if path.name == identity:
+            _sync_folder(folder)
+    _sync_folder(folder)
+
+
+def were_files_set_aside(folder: pathlib.Path) -> bool:
+    """Returns whether `set_files_aside` was called, even if it did not end."""
+    return (folder / _DAMAGED_MARKER).exists()
+
+
+def _sync_folder(folder: pathlib.Path) -> None:
     """Makes created, renamed and removed names of a folder durable."""
     handle = os.open(folder, os.O_RDONLY)
     try:
--- a/src/apricothinge/mesh/control.py
+++ b/src/apricothinge/mesh/control.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import pathlib
-import shutil
 from typing import Final
 import zlib
 
@@ -32,8 +31,7 @@
 _TICK_INTERVAL_S: Final = 0.05
 _MEMBERSHIP_INTERVAL_TICKS: Final = 4
 _JOIN_INTERVAL_TICKS: Final = 6
-# A damaged data folder is kept under this name for later inspection.
-_DAMAGED_SUFFIX: Final = ".damaged"
+_IDENTITY_RECORD: Final = "identity"
 # An instance that knows no leader for this long asks to join the group.
 _LEADERLESS_TIMEOUT_S: Final = 2.0
 # A leader that no quorum has confirmed for this long stops serving nodes.
@@ -123,8 +121,8 @@
         self._monitor = connection.KeepaliveMonitor()
         self._hello = frames.Hello(control_settings.instance, incarnation)
         folder = pathlib.Path(control_settings.data)
-        file_storage, damaged = self._open_storage(folder)
-        identity = self._load_identity(folder, file_storage, damaged)
+        file_storage = self._open_storage(folder)
+        identity = self._load_identity(folder, file_storage)
         self._name = identity.name
         self._storage = file_storage
         self.state_machine = machine.MeshStateMachine()
@@ -156,46 +154,48 @@
     # Startup and shutdown.
 
     @staticmethod
-    def _open_storage(folder: pathlib.Path) -> tuple[storage.FileStorage, bool]:
-        """Opens the data folder, or an empty one if it is damaged.
-
-        Returns:
-            The storage, and whether the folder was damaged.
-        """
+    def _open_storage(folder: pathlib.Path) -> storage.FileStorage:
+        """Opens the data folder, or an empty one if its files are damaged."""
+        if (storage.were_files_set_aside(folder) and
+                not (folder / _IDENTITY_RECORD).exists()):
+            # A crash may have left some of the files behind.
+            storage.set_files_aside(folder, _IDENTITY_RECORD)
+        file_storage: storage.FileStorage | None = None
         try:
             file_storage = storage.FileStorage(folder)
+            file_storage.read_record(_IDENTITY_RECORD)
             file_storage.load()
-            return file_storage, False
+            return file_storage
         except errors.ApricothingeError as error:
             # The instance rejoins as a new member and gets a copy of the state.
             log.event("control:storage_damaged", error=str(error))
-        damaged = folder.with_name(folder.name + _DAMAGED_SUFFIX)
-        shutil.rmtree(damaged, ignore_errors=True)
-        folder.rename(damaged)
-        storage.sync_folder(folder.parent)
-        return storage.FileStorage(folder), True
+        if file_storage is not None:
+            file_storage.close()
+        storage.set_files_aside(folder, _IDENTITY_RECORD)
+        return storage.FileStorage(folder)
 
     def _load_identity(self, folder: pathlib.Path,
-                       file_storage: storage.FileStorage,
-                       damaged: bool) -> _Identity:
+                       file_storage: storage.FileStorage) -> _Identity:
         """Returns the member name of this instance, a new one at first.
 
         A damaged folder held votes and acknowledged changes. The instance must
         not return under its old name without them.
         """
-        record = file_storage.read_record("identity")
+        record = file_storage.read_record(_IDENTITY_RECORD)
         if record is not None:
             return msgspec.json.decode(record, type=_Identity)
         own_address = self._settings.link
         bootstrap_addresses = self._settings.control_links()
-        if (self._settings.bootstrap and not damaged and
+        if (self._settings.bootstrap and
+                not storage.were_files_set_aside(folder) and
                 own_address in bootstrap_addresses):
             identity = _Identity(
                 own_address,
                 {address: address for address in bootstrap_addresses})
         else:
             identity = _Identity(f"{own_address}/{file_storage.disk_id}", {})
-        file_storage.write_record("identity", msgspec.json.encode(identity))
+        file_storage.write_record(_IDENTITY_RECORD,
+                                  msgspec.json.encode(identity))
         log.event("control:identity",
                   name=identity.name,
                   joins=not identity.members,
