--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -105,9 +105,11 @@
         blocked_links: Pairs of sender and receiver that lose all messages.
         committed: Applied command by position, as first seen anywhere.
         leader_by_term: First leader seen in each term.
+        external_promotion: Whether learners wait for `propose_members`.
     """
 
-    def __init__(self, names, seed=1):
+    def __init__(self, names, seed=1, external_promotion=False):
+        self.external_promotion = external_promotion
         self.now = 0.0
         self.random = random.Random(seed)
         self.initial_members = {name: member() for name in names}
@@ -127,10 +129,15 @@
         store.writes_until_crash = None
         machine = ListStateMachine()
         self.machines[name] = machine
-        self.rafts[name] = raft.Raft(
-            self.now, name, store, machine, self.initial_members
-            if initial_members is None else initial_members,
-            random.Random(self.random.random()), raft.Timing())
+        self.rafts[name] = raft.Raft(self.now,
+                                     name,
+                                     store,
+                                     machine,
+                                     self.initial_members if initial_members
+                                     is None else initial_members,
+                                     random.Random(self.random.random()),
+                                     raft.Timing(),
+                                     external_promotion=self.external_promotion)
 
     def crash(self, name):
         """Stops a member; its messages in flight are still delivered."""
