--- a/src/apricothinge/mesh/names.py
+++ b/src/apricothinge/mesh/names.py
@@ -14,10 +14,13 @@
         calling_service: Service on the machine where the request was made.
         expected_upstream: Name of the only upstream that may run the request.
         not_run: Set in a response if the upstream did not run the request.
+        rate_limit: Requests per second that the upstream takes for now.
+        leaving: `1` in each response of an upstream that is about to end.
     """
 
     __slots__ = ("request_id", "deadline_ms", "key", "organisation",
-                 "calling_service", "expected_upstream", "not_run")
+                 "calling_service", "expected_upstream", "not_run",
+                 "rate_limit", "leaving")
 
     def __init__(self,
                  *,
@@ -27,7 +30,9 @@
                  organisation: bytes = b"x-organisation",
                  calling_service: bytes = b"x-calling-service",
                  expected_upstream: bytes = b"x-expected-upstream",
-                 not_run: bytes = b"x-not-run") -> None:
+                 not_run: bytes = b"x-not-run",
+                 rate_limit: bytes = b"x-rate-limit",
+                 leaving: bytes = b"x-leaving") -> None:
         self.request_id = request_id
         self.deadline_ms = deadline_ms
         self.key = key
@@ -35,6 +40,8 @@
         self.calling_service = calling_service
         self.expected_upstream = expected_upstream
         self.not_run = not_run
+        self.rate_limit = rate_limit
+        self.leaving = leaving
 
     def reserved(self) -> frozenset[bytes]:
         """Returns the headers that are removed from requests of callers."""
--- a/src/apricothinge/platform/wire.py
+++ b/src/apricothinge/platform/wire.py
@@ -35,7 +35,9 @@
                                         organisation=b"tenant-id",
                                         calling_service=b"caller-service",
                                         expected_upstream=b"intended-instance",
-                                        not_run=b"not-executed")
+                                        not_run=b"not-executed",
+                                        rate_limit=b"server-limit",
+                                        leaving=b"server-leaving")
 
 # Upper bound that the platform sets on the timeout of a route.
 _MAX_TIMEOUT_S: Final = 600.0
