Send an upstream no more requests than the rate it names

Cause: the rate in the headers of its responses was not read. The only bound was its number of slots, which says nothing about an upstream in need. Ruled out: a share for each sender that does not add up; there are no shares, as each request passes the node beside its upstream. Change: that node spaces requests by a token bucket at the named rate. Requests that exceed it wait in the admission queue by priority, go to another upstream, or are refused as not run with the time until there is room. The load that other nodes see is relative to what the rate allows, so that they send elsewhere first and entries refuse whole call trees early. admit_waiting takes the time, and tests pass it. Why it works: no other way leads to the upstream, so the sum over all senders is bounded where it is formed, also while domains are cut off.

--- a/src/apricothinge/mesh/admission_queue.py
+++ b/src/apricothinge/mesh/admission_queue.py
@@ -3,13 +3,16 @@
 A request that is sent to an upstream without a free slot waits in the
 upstream's own queue, where the node can neither refuse it nor send it
 elsewhere, and gets no response once that queue is full. The node therefore
-queues the requests that exceed the slots itself.
+queues the requests that exceed the slots itself, and those that exceed the rate
+that the upstream names.
 """
 
 import heapq
 import math
 from typing import Final
 
+from apricothinge.overload import upstream_rate
+
 __all__ = ["AdmissionQueue", "Refused", "Ticket", "Verdict"]
 
 # Some upstreams slow down when more than 95% of their slots are in use.
@@ -70,14 +73,16 @@
     Attributes:
         slots: Maximum number of requests that the upstream runs concurrently.
         running: Number of requests that the upstream runs now.
+        rate_limiter: Limits the rate of requests that the upstream gets.
     """
 
-    __slots__ = ("slots", "running", "_heap", "_sequence", "_hold_s",
-                 "_waiting_by_rank")
+    __slots__ = ("slots", "running", "rate_limiter", "_heap", "_sequence",
+                 "_hold_s", "_waiting_by_rank")
 
     def __init__(self) -> None:
         self.slots = 0
         self.running = 0
+        self.rate_limiter = upstream_rate.UpstreamRateLimiter()
         self._heap: list[tuple[int, int, Ticket]] = []
         self._sequence = 0
         self._hold_s = _INITIAL_HOLD_S
@@ -93,6 +98,16 @@
         """Maximum number of requests sent to the upstream concurrently."""
         return max(1, math.floor(self.slots * _MAX_SLOT_FRACTION))
 
+    @property
+    def capacity(self) -> float:
+        """Number of requests that run concurrently at full load.
+
+        At a limited rate it follows from Little's law.
+        """
+        if not self.rate_limiter.rate:
+            return self.limit
+        return min(self.limit, self.rate_limiter.rate * self._hold_s)
+
     @property
     def queued(self) -> int:
         """Number of waiting requests."""
@@ -102,9 +117,10 @@
         """Estimates the wait in seconds of a new request with a given rank."""
         ahead = sum(count for found, count in self._waiting_by_rank.items()
                     if found <= rank)
+        rate_wait_s = self.rate_limiter.wait_s(ahead)
         if self.running < self.limit and not ahead:
-            return 0.0
-        return (ahead + 1) * self._hold_s / self.limit
+            return rate_wait_s
+        return max(rate_wait_s, (ahead + 1) * self._hold_s / self.limit)
 
     @staticmethod
     def max_wait_s(nested: bool, remaining_s: float,
@@ -132,7 +148,8 @@
         Raises:
             Refused: The expected wait is longer than the ticket's.
         """
-        if self.running < self.limit and not self._waiting_by_rank:
+        if (self.running < self.limit and not self._waiting_by_rank and
+                self.rate_limiter.try_take(now)):
             self.running += 1
             return Verdict.RUN
         wait_s = self.expected_wait_s(ticket.rank)
@@ -166,12 +183,16 @@
     def return_slot(self) -> None:
         """Frees the slot of a ticket that was admitted and did not run."""
         self.running -= 1
+        self.rate_limiter.give_back()
 
-    def admit_waiting(self) -> list[Ticket]:
+    def admit_waiting(self, now: float) -> list[Ticket]:
         """Takes free slots for waiting tickets and returns those tickets."""
         started = []
         while self._heap and self.running < self.limit:
-            _, _, ticket = heapq.heappop(self._heap)
+            _, _, ticket = self._heap[0]
+            if ticket.waiting and not self.rate_limiter.try_take(now):
+                break
+            heapq.heappop(self._heap)
             if not ticket.waiting:
                 continue
             self._dequeue(ticket)
--- a/src/apricothinge/mesh/upstream.py
+++ b/src/apricothinge/mesh/upstream.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import re
 from typing import Final
 
 from apricothinge import errors
@@ -26,6 +27,9 @@
 # Content that is still arriving is delivered past the deadline, but silence of
 # this many seconds after it ends the response.
 _MAX_LATE_STALL_S: Final = 1.0
+_RATE: Final = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
+# A rate that moves by less than this fraction is not published again.
+_RATE_CHANGE_THRESHOLD: Final = 0.2
 
 
 class CheckIn:
@@ -86,7 +90,7 @@
                  "_loop", "_queue", "_check_in", "_usable", "_deregistered_ids",
                  "_probe_task", "_crash_table", "_metrics", "_warm_at",
                  "_incarnation", "_crash_count", "_local_costs",
-                 "_load_feedback")
+                 "_load_feedback", "_published_rate")
 
     def __init__(self, address: settings.Address,
                  header_names: names.HeaderNames, pool: client.ConnectionPool,
@@ -110,6 +114,7 @@
         self._warm_at = 0.0
         self._incarnation = incarnation
         self._crash_count = 0
+        self._published_rate = 0.0
         self.on_change = _ignore_change
         self.in_flight: collections.Counter[str] = collections.Counter()
 
@@ -131,7 +136,8 @@
     def load(self) -> frames.Load:
         """Returns the current load."""
         queue = self._queue
-        return frames.Load(queue.running, queue.queued, queue.limit,
+        return frames.Load(queue.running, queue.queued,
+                           max(1, round(queue.capacity)),
                            round(self._load_feedback.capacity_ratio, 3))
 
     # Check-ins.
@@ -145,8 +151,7 @@
         if latest is not None:
             if check_in.born < latest.born:
                 return
-            same_lifetime = (check_in.born == latest.born and
-                             check_in.upstream_id == latest.upstream_id)
+            same_lifetime = self._is_same_lifetime(check_in)
             if same_lifetime and check_in.sequence <= latest.sequence:
                 return
             if not same_lifetime:
@@ -172,6 +177,8 @@
         if self._probe_task is not None:
             self._probe_task.cancel()
             self._probe_task = None
+        self._queue.rate_limiter.reset()
+        self._published_rate = 0.0
         self._pool.close_idle(self._address)
 
     def deregister(self, upstream_id: str, born: int | None) -> None:
@@ -335,9 +342,9 @@
             _resolve(ticket, False)
         if not self._usable:
             return
-        for ticket in self._queue.admit_waiting():
+        for ticket in self._queue.admit_waiting(self._loop.time()):
             if not _resolve(ticket, True):
-                self._queue.running -= 1
+                self._queue.return_slot()
 
     def update_load_feedback(self, admitted_fraction: float) -> None:
         """Adjusts the load feedback to entries.
@@ -348,7 +355,7 @@
         """
         queue = self._queue
         self._load_feedback.tick(self._loop.time(), queue.queued,
-                                 queue.limit if self._usable else 0,
+                                 queue.capacity if self._usable else 0.0,
                                  admitted_fraction)
 
     def _headers(self, upstream_request: UpstreamRequest,
@@ -395,8 +402,42 @@
             if self.in_flight[call.fingerprint] <= 0:
                 del self.in_flight[call.fingerprint]
         self._crash_table.record_response(self._loop.time(), call.fingerprint)
+        if self._is_same_lifetime(latest):
+            self._apply_rate(
+                messages.header(response.headers, self._names.rate_limit))
         return response
 
+    def _is_same_lifetime(self, check_in: CheckIn) -> bool:
+        """Returns whether a check-in is of the current lifetime."""
+        latest = self._check_in
+        return (latest is not None and
+                latest.upstream_id == check_in.upstream_id and
+                latest.born == check_in.born)
+
+    def _apply_rate(self, text: bytes | None) -> None:
+        """Applies the rate that a response names, None if it names none."""
+        now = self._loop.time()
+        limiter = self._queue.rate_limiter
+        if text is None:
+            limiter.handle_no_rate(now)
+        elif _RATE.fullmatch(text):
+            limiter.set_rate(now, float(text))
+        else:
+            log.event("upstream:rate_invalid", rate=repr(text))
+            return
+        change = abs(limiter.rate - self._published_rate)
+        if change <= _RATE_CHANGE_THRESHOLD * min(limiter.rate,
+                                                  self._published_rate):
+            return
+        log.event("upstream:rate_limit",
+                  upstream=self._check_in.upstream_id if self._check_in else "",
+                  rate=limiter.rate,
+                  before=self._published_rate,
+                  running=self._queue.running,
+                  queued=self._queue.queued)
+        self._published_rate = limiter.rate
+        self.on_change()
+
     async def _handle_lost_response(self, detail: str) -> None:
         """Distinguishes a crash of the upstream from a single lost response.
 
--- a/src/apricothinge/overload/load_feedback.py
+++ b/src/apricothinge/overload/load_feedback.py
@@ -61,15 +61,15 @@
         """Discounts a counted call that was refused for lack of capacity."""
         self._arrived_work_s -= hold_s * (1.0 - _REFUSED_CALL_WEIGHT)
 
-    def tick(self, now: float, queued: int, slots: int,
+    def tick(self, now: float, queued: int, slots: float,
              admitted_fraction: float) -> None:
         """Adjusts the capacity ratio to the load.
 
         Args:
             now: Current time in seconds.
             queued: Number of queued calls.
-            slots: Number of calls that may run concurrently; 0 if the
-                upstream is not available.
+            slots: Number of calls that run concurrently at full load; 0 if
+                the upstream is not available.
             admitted_fraction: Fraction of the demand on the service that
                 entries currently admit.
         """
--- a/tests/mesh_model.py
+++ b/tests/mesh_model.py
@@ -96,7 +96,8 @@
 
     def admit_waiting(self):
         """Admits waiting requests to free slots."""
-        for ticket in self.queue.admit_waiting():
+        for ticket in self.queue.admit_waiting(
+                asyncio.get_running_loop().time()):
             if ticket.waiter.done():
                 self.queue.running -= 1
             else:
--- a/tests/test_mesh_decisions.py
+++ b/tests/test_mesh_decisions.py
@@ -81,7 +81,7 @@
         order = []
         for _ in range(3):
             queue.release(0.1)
-            order += queue.admit_waiting()
+            order += queue.admit_waiting(0.0)
         self.assertEqual(order, [nested, first, low])
 
     def test_refused_on_arrival(self):
@@ -111,7 +111,7 @@
         queue.offer(0.0, late)
         self.assertEqual(queue.pop_expired(0.6), [late])
         queue.release(0.1)
-        self.assertEqual(queue.admit_waiting(), [])
+        self.assertEqual(queue.admit_waiting(0.6), [])
 
     @hypothesis.given(
         strategies.lists(strategies.tuples(strategies.integers(-1, 3),
@@ -136,7 +136,7 @@
             if finishes and running:
                 queue.release(0.05)
                 running -= 1
-            started = len(queue.admit_waiting())
+            started = len(queue.admit_waiting(now))
             running += started
             waiting_count -= started
             self.assertEqual(queue.running, running)
