Tell a restarted node what its upstream has said before

Cause: the rate and the leave stand in responses, and only that node kept them. Its next process starts from the check-ins, which say neither, and sends as many requests as there are slots before the first response. Evidence: test_rate_exceeded_after_restart_of_node (108 requests with the rate kept in that node alone) and test_request_to_leaving_upstream_after_restart_of_node failed before. Change: the row of an upstream says both. Each node remembers it for the nodes that it has links to and sends it with its Hello, the first message of a link, which comes before its calls; the node answers with its status only then. Rows are told apart by lifetime. Why it works: the platform counts only requests of machines that had passed on such a response. Those have had a link, and the status comes on it ahead of the response. The second test asks the restarted node itself only after a second: before, it has no state and answers 503, which is right. Result: both tests pass, and tests.test_mesh_nodes, test_silent_nodes and test_link.

--- a/src/apricothinge/link/frames.py
+++ b/src/apricothinge/link/frames.py
@@ -33,10 +33,13 @@
     Attributes:
         instance: Name of the sending instance.
         incarnation: Increases with each start of its process.
+        known_upstream: The receiver's upstream as it last reported it to the
+            sender, if that said something which a restarted receiver needs.
     """
 
     instance: str
     incarnation: int
+    known_upstream: "UpstreamRow | None" = None
 
 
 class Ping(_Message, tag=2):
@@ -196,6 +199,8 @@
         slots: Number of requests that it runs concurrently.
         usable: Whether it accepts new requests.
         cold_s: Remaining warm-up time in seconds.
+        leaving: Whether it is about to end.
+        rate_limit: Requests per second that it takes; 0 for no limit.
     """
 
     upstream_id: str
@@ -204,6 +209,8 @@
     slots: int
     usable: bool
     cold_s: float
+    leaving: bool = False
+    rate_limit: float = 0.0
 
 
 class NodeRow(_Message):
--- a/src/apricothinge/mesh/attachment.py
+++ b/src/apricothinge/mesh/attachment.py
@@ -5,6 +5,8 @@
 import contextlib
 from typing import Final
 
+import msgspec
+
 from apricothinge import log
 from apricothinge import runtime
 from apricothinge import settings
@@ -301,11 +303,7 @@
         if upstream_row is not None:
             # cold_s counts down by itself. With it, the row would differ in
             # every report, although only its initial value is new.
-            upstream_row = frames.UpstreamRow(upstream_row.upstream_id,
-                                              upstream_row.born,
-                                              upstream_row.service,
-                                              upstream_row.slots,
-                                              upstream_row.usable, 0.0)
+            upstream_row = msgspec.structs.replace(upstream_row, cold_s=0.0)
         return frames.NodeRow(self._instance, self._incarnation, self.address,
                               self._failure_domain, self._state.service,
                               self._state.draining, upstream_row)
--- a/src/apricothinge/mesh/node.py
+++ b/src/apricothinge/mesh/node.py
@@ -92,20 +92,29 @@
         self._node = node
 
     def link_opened(self, link: connection.Link) -> None:
-        """Sends the identity, the upstream status and the costs."""
+        """Sends the identity."""
         link.send(self._node.hello)
         self._node.incoming_calls.link_opened(link)
-        link.send(self._node.status_message())
-        link.send(self._node.costs_message())
 
     def message_received(self, link: connection.Link,
                          message: frames.Frame) -> None:
         """Handles a message that belongs to a call, or a desired state."""
+        if isinstance(message, frames.Hello):
+            self._handle_hello(link, message)
+            return
         if isinstance(message, frames.StateOffer):
             self._node.state_exchange.accept(message)
             return
         self._node.incoming_calls.message_received(link, message)
 
+    def _handle_hello(self, link: connection.Link,
+                      message: frames.Hello) -> None:
+        """Sends the upstream status and the costs."""
+        if message.known_upstream is not None:
+            self._node.upstream.recall(message.known_upstream)
+        link.send(self._node.status_message())
+        link.send(self._node.costs_message())
+
     def link_lost(self, link: connection.Link) -> None:
         """Cancels the calls of the link."""
         self._node.incoming_calls.link_lost(link)
--- a/src/apricothinge/mesh/peers.py
+++ b/src/apricothinge/mesh/peers.py
@@ -22,6 +22,7 @@
 # this long after control stopped listing it.
 _REMOVE_AFTER_S: Final = 3.0
 _CHOICE_INTERVAL_S: Final = 0.5
+_MAX_KNOWN_UPSTREAMS: Final = 256
 
 
 class Peer(connection.LinkHandler):
@@ -100,7 +101,7 @@
 
     def link_opened(self, link: connection.Link) -> None:
         """Makes a new link available for calls."""
-        link.send(self._peer_table.hello)
+        link.send(self._peer_table.make_hello(self.row.instance))
         self.outgoing_calls.link = link
 
     def message_received(self, link: connection.Link,
@@ -159,7 +160,7 @@
 
     Attributes:
         by_instance: Peers by instance name.
-        hello: First message on each link.
+        hello: Identity of this node.
         monitor: Checks the links for silent peers.
         cost_table: Costs of requests, as published by the peers.
         make_offer: Returns what to send to a node that knows no desired state,
@@ -168,7 +169,7 @@
 
     __slots__ = ("by_instance", "hello", "monitor", "cost_table", "make_offer",
                  "_router", "_own_instance", "_own_domain", "_loop",
-                 "_chosen_at", "_choice_due")
+                 "_chosen_at", "_choice_due", "_known_upstream_by_instance")
 
     def __init__(self, own_instance: str, own_domain: str, hello: frames.Hello,
                  monitor: connection.KeepaliveMonitor, router: routing.Router,
@@ -183,6 +184,7 @@
         self.cost_table = cost_table
         self._router = router
         self.by_instance: dict[str, Peer] = {}
+        self._known_upstream_by_instance: dict[str, frames.UpstreamRow] = {}
         self.make_offer: Callable[[], frames.StateOffer | None] = _no_offer
 
     @property
@@ -222,11 +224,32 @@
     def update_status(self, peer: Peer, status: frames.Status) -> None:
         """Applies a status received from a node."""
         row = peer.row
+        if status.upstream is not None:
+            self._remember_upstream(row.instance, status.upstream)
         peer.row = frames.NodeRow(row.instance, row.incarnation, row.address,
                                   row.failure_domain, row.service,
                                   status.leaving, status.upstream)
         self.update_router(peer)
 
+    def _remember_upstream(self, instance: str,
+                           upstream_row: frames.UpstreamRow) -> None:
+        """Remembers what an upstream said that its node needs if it restarts.
+
+        The row of the node itself is replaced when the node returns.
+        """
+        known = self._known_upstream_by_instance
+        known.pop(instance, None)
+        if not upstream_row.leaving and not upstream_row.rate_limit:
+            return
+        known[instance] = upstream_row
+        if len(known) > _MAX_KNOWN_UPSTREAMS:
+            del known[next(iter(known))]
+
+    def make_hello(self, instance: str) -> frames.Hello:
+        """Returns the first message to a node."""
+        return frames.Hello(self.hello.instance, self.hello.incarnation,
+                            self._known_upstream_by_instance.get(instance))
+
     def update_load(self, peer: Peer) -> None:
         """Publishes the latest load of a node's upstream to the router."""
         target = self._router.by_instance.get(peer.row.instance)
--- a/src/apricothinge/mesh/upstream.py
+++ b/src/apricothinge/mesh/upstream.py
@@ -27,6 +27,8 @@
 # Content that is still arriving is delivered past the deadline, but silence of
 # this many seconds after it ends the response.
 _MAX_LATE_STALL_S: Final = 1.0
+# Other nodes each send what they know of the upstream.
+_MAX_RECALLED_ROWS: Final = 32
 _RATE: Final = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 # A rate that moves by less than this fraction is not published again.
 _RATE_CHANGE_THRESHOLD: Final = 0.2
@@ -90,7 +92,8 @@
                  "_loop", "_queue", "_check_in", "_usable", "_deregistered_ids",
                  "_probe_task", "_crash_table", "_metrics", "_warm_at",
                  "_incarnation", "_crash_count", "_local_costs",
-                 "_load_feedback", "_published_rate", "_leaving")
+                 "_load_feedback", "_published_rate", "_leaving", "_responded",
+                 "_recalled_rows")
 
     def __init__(self, address: settings.Address,
                  header_names: names.HeaderNames, pool: client.ConnectionPool,
@@ -116,6 +119,9 @@
         self._crash_count = 0
         self._published_rate = 0.0
         self._leaving = False
+        self._responded = False
+        self._recalled_rows: collections.deque[
+            frames.UpstreamRow] = collections.deque(maxlen=_MAX_RECALLED_ROWS)
         self.on_change = _ignore_change
         self.in_flight: collections.Counter[str] = collections.Counter()
 
@@ -132,7 +138,8 @@
         cold_s = max(0.0, self._warm_at - self._loop.time())
         return frames.UpstreamRow(latest.upstream_id, latest.born,
                                   latest.service, latest.slots, self._usable,
-                                  round(cold_s, 1))
+                                  round(cold_s, 1), self._leaving or
+                                  latest.draining, self._published_rate)
 
     def load(self) -> frames.Load:
         """Returns the current load."""
@@ -160,6 +167,8 @@
         else:
             self._start_lifetime(check_in)
         self._check_in = check_in
+        for row in self._recalled_rows:
+            self._apply_recalled(row)
         self._local_costs.service = check_in.service
         self._queue.slots = check_in.slots
         self._warm_at = self._loop.time() + check_in.cold_s
@@ -181,8 +190,30 @@
         self._queue.rate_limiter.reset()
         self._published_rate = 0.0
         self._leaving = False
+        self._responded = False
         self._pool.close_idle(self._address)
 
+    def recall(self, row: frames.UpstreamRow) -> None:
+        """Takes over what an earlier process of this node has published.
+
+        The upstream may have said that it leaves, or which rate it takes,
+        before this process started.
+        """
+        self._recalled_rows.append(row)
+        self._apply_recalled(row)
+
+    def _apply_recalled(self, row: frames.UpstreamRow) -> None:
+        latest = self._check_in
+        if (latest is None or latest.upstream_id != row.upstream_id or
+                latest.born != row.born):
+            return
+        if row.leaving and not self._leaving:
+            self._leaving = True
+            self._set_usable(False, "leaving")
+        if row.rate_limit and not self._responded:
+            self._queue.rate_limiter.set_rate(self._loop.time(), row.rate_limit)
+            self._publish_rate()
+
     def deregister(self, upstream_id: str, born: int | None) -> None:
         """Ends a lifetime, which receives no new requests from then on."""
         latest = self._check_in
@@ -406,6 +437,7 @@
                 del self.in_flight[call.fingerprint]
         self._crash_table.record_response(self._loop.time(), call.fingerprint)
         if self._is_same_lifetime(latest):
+            self._responded = True
             self._apply_rate(
                 messages.header(response.headers, self._names.rate_limit))
             if messages.header(response.headers, self._names.leaving) == b"1":
@@ -430,7 +462,11 @@
             limiter.set_rate(now, float(text))
         else:
             log.event("upstream:rate_invalid", rate=repr(text))
-            return
+        self._publish_rate()
+
+    def _publish_rate(self) -> None:
+        """Publishes the rate to other nodes if it has changed enough."""
+        limiter = self._queue.rate_limiter
         change = abs(limiter.rate - self._published_rate)
         if change <= _RATE_CHANGE_THRESHOLD * min(limiter.rate,
                                                   self._published_rate):
