Keep what an upstream announces in a class of its own

Cause: the rate, the leave and what other nodes remember of them were spread over LocalUpstream. Change: mesh/announcements.py reads them and decides what is published; LocalUpstream acts on it. A gauge shows the rate, and the log has upstream:rate_limit.

--- a/src/apricothinge/mesh/node.py
+++ b/src/apricothinge/mesh/node.py
@@ -341,6 +341,9 @@
         node_metrics = self.state.metrics
         load = self.upstream.load()
         node_metrics.limit.set(load.slots)
+        upstream_row = self.upstream.row()
+        node_metrics.upstream_rate_limit.set(0.0 if upstream_row is
+                                             None else upstream_row.rate_limit)
         node_metrics.in_flight.set(load.running)
         node_metrics.queued.set(load.queued)
         node_metrics.revision.set(self.state.revision)
--- a/src/apricothinge/mesh/upstream.py
+++ b/src/apricothinge/mesh/upstream.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections
-import re
 from typing import Final
 
 from apricothinge import errors
@@ -11,6 +10,7 @@
 from apricothinge import settings
 from apricothinge.link import frames
 from apricothinge.mesh import admission_queue
+from apricothinge.mesh import announcements
 from apricothinge.mesh import costs
 from apricothinge.mesh import names
 from apricothinge.overload import crashes
@@ -27,11 +27,6 @@
 # Content that is still arriving is delivered past the deadline, but silence of
 # this many seconds after it ends the response.
 _MAX_LATE_STALL_S: Final = 1.0
-# Other nodes each send what they know of the upstream.
-_MAX_RECALLED_ROWS: Final = 32
-_RATE: Final = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
-# A rate that moves by less than this fraction is not published again.
-_RATE_CHANGE_THRESHOLD: Final = 0.2
 
 
 class CheckIn:
@@ -92,8 +87,7 @@
                  "_loop", "_queue", "_check_in", "_usable", "_deregistered_ids",
                  "_probe_task", "_crash_table", "_metrics", "_warm_at",
                  "_incarnation", "_crash_count", "_local_costs",
-                 "_load_feedback", "_published_rate", "_leaving", "_responded",
-                 "_recalled_rows")
+                 "_load_feedback", "_announcements")
 
     def __init__(self, address: settings.Address,
                  header_names: names.HeaderNames, pool: client.ConnectionPool,
@@ -117,11 +111,8 @@
         self._warm_at = 0.0
         self._incarnation = incarnation
         self._crash_count = 0
-        self._published_rate = 0.0
-        self._leaving = False
-        self._responded = False
-        self._recalled_rows: collections.deque[
-            frames.UpstreamRow] = collections.deque(maxlen=_MAX_RECALLED_ROWS)
+        self._announcements = announcements.Announcements(
+            header_names, self._queue.rate_limiter)
         self.on_change = _ignore_change
         self.in_flight: collections.Counter[str] = collections.Counter()
 
@@ -136,10 +127,11 @@
         if latest is None:
             return None
         cold_s = max(0.0, self._warm_at - self._loop.time())
-        return frames.UpstreamRow(latest.upstream_id, latest.born,
-                                  latest.service, latest.slots, self._usable,
-                                  round(cold_s, 1), self._leaving or
-                                  latest.draining, self._published_rate)
+        return frames.UpstreamRow(
+            latest.upstream_id,
+            latest.born, latest.service, latest.slots, self._usable,
+            round(cold_s, 1), self._announcements.leaving or latest.draining,
+            self._announcements.rate_limit)
 
     def load(self) -> frames.Load:
         """Returns the current load."""
@@ -167,12 +159,10 @@
         else:
             self._start_lifetime(check_in)
         self._check_in = check_in
-        for row in self._recalled_rows:
-            self._apply_recalled(row)
         self._local_costs.service = check_in.service
         self._queue.slots = check_in.slots
         self._warm_at = self._loop.time() + check_in.cold_s
-        usable = not check_in.draining and not self._leaving
+        usable = not check_in.draining and not self._announcements.leaving
         if usable and not self._usable and self._probe_task is not None:
             # The probe decides when the upstream accepts connections again.
             return
@@ -187,32 +177,24 @@
         if self._probe_task is not None:
             self._probe_task.cancel()
             self._probe_task = None
-        self._queue.rate_limiter.reset()
-        self._published_rate = 0.0
-        self._leaving = False
-        self._responded = False
+        self._announcements.start_lifetime(self._loop.time(),
+                                           check_in.upstream_id, check_in.born)
         self._pool.close_idle(self._address)
 
     def recall(self, row: frames.UpstreamRow) -> None:
-        """Takes over what an earlier process of this node has published.
-
-        The upstream may have said that it leaves, or which rate it takes,
-        before this process started.
-        """
-        self._recalled_rows.append(row)
-        self._apply_recalled(row)
-
-    def _apply_recalled(self, row: frames.UpstreamRow) -> None:
+        """Takes over what an earlier process of this node has published."""
         latest = self._check_in
-        if (latest is None or latest.upstream_id != row.upstream_id or
-                latest.born != row.born):
-            return
-        if row.leaving and not self._leaving:
-            self._leaving = True
+        is_current = (latest is not None and
+                      latest.upstream_id == row.upstream_id and
+                      latest.born == row.born)
+        if self._announcements.recall(self._loop.time(), row, is_current):
+            self._publish_announcements()
+
+    def _publish_announcements(self) -> None:
+        if self._announcements.leaving and self._usable:
             self._set_usable(False, "leaving")
-        if row.rate_limit and not self._responded:
-            self._queue.rate_limiter.set_rate(self._loop.time(), row.rate_limit)
-            self._publish_rate()
+            return
+        self.on_change()
 
     def deregister(self, upstream_id: str, born: int | None) -> None:
         """Ends a lifetime, which receives no new requests from then on."""
@@ -253,7 +235,7 @@
                 break
         self._probe_task = None
         if (self._check_in is not None and not self._check_in.draining and
-                not self._leaving):
+                not self._announcements.leaving):
             self._set_usable(True, "listens")
 
     # Requests.
@@ -438,13 +420,9 @@
             if self.in_flight[call.fingerprint] <= 0:
                 del self.in_flight[call.fingerprint]
         self._crash_table.record_response(self._loop.time(), call.fingerprint)
-        if self._is_same_lifetime(latest):
-            self._responded = True
-            self._apply_rate(
-                messages.header(response.headers, self._names.rate_limit))
-            if messages.header(response.headers, self._names.leaving) == b"1":
-                self._leaving = True
-                self._set_usable(False, "leaving")
+        if (self._is_same_lifetime(latest) and
+                self._announcements.read(self._loop.time(), response.headers)):
+            self._publish_announcements()
         return response
 
     def _is_same_lifetime(self, check_in: CheckIn) -> bool:
@@ -454,34 +432,6 @@
                 latest.upstream_id == check_in.upstream_id and
                 latest.born == check_in.born)
 
-    def _apply_rate(self, text: bytes | None) -> None:
-        """Applies the rate that a response names, None if it names none."""
-        now = self._loop.time()
-        limiter = self._queue.rate_limiter
-        if text is None:
-            limiter.handle_no_rate(now)
-        elif _RATE.fullmatch(text):
-            limiter.set_rate(now, float(text))
-        else:
-            log.event("upstream:rate_invalid", rate=repr(text))
-        self._publish_rate()
-
-    def _publish_rate(self) -> None:
-        """Publishes the rate to other nodes if it has changed enough."""
-        limiter = self._queue.rate_limiter
-        change = abs(limiter.rate - self._published_rate)
-        if change <= _RATE_CHANGE_THRESHOLD * min(limiter.rate,
-                                                  self._published_rate):
-            return
-        log.event("upstream:rate_limit",
-                  upstream=self._check_in.upstream_id if self._check_in else "",
-                  rate=limiter.rate,
-                  before=self._published_rate,
-                  running=self._queue.running,
-                  queued=self._queue.queued)
-        self._published_rate = limiter.rate
-        self.on_change()
-
     async def _handle_lost_response(self, detail: str) -> None:
         """Distinguishes a crash of the upstream from a single lost response.
 
--- a/src/apricothinge/metrics.py
+++ b/src/apricothinge/metrics.py
@@ -37,9 +37,9 @@
     """Metrics of a node."""
 
     __slots__ = ("registry", "calls", "refusals", "call_seconds", "queue_delay",
-                 "limit", "in_flight", "queued", "retries", "tokens",
-                 "revision", "revision_age", "connections", "peers", "loop_lag",
-                 "lines_omitted")
+                 "limit", "upstream_rate_limit", "in_flight", "queued",
+                 "retries", "tokens", "revision", "revision_age", "connections",
+                 "peers", "loop_lag", "lines_omitted")
 
     def __init__(self) -> None:
         self.registry = prometheus_client.CollectorRegistry()
@@ -70,6 +70,9 @@
                                         buckets=_DELAY_BUCKETS_S,
                                         registry=self.registry))
         self.limit = self._gauge("limit", "Concurrency limit of the upstream.")
+        self.upstream_rate_limit = self._gauge(
+            "upstream_rate_limit",
+            "Requests per second that the upstream takes; 0 for no limit.")
         self.in_flight = self._gauge("in_flight",
                                      "Calls in flight at the upstream.")
         self.queued = self._gauge("queued", "Calls queued for admission.")
--- a/tests/test_mesh_decisions.py
+++ b/tests/test_mesh_decisions.py
@@ -103,6 +103,31 @@
         queue.return_slot()
         self.assertEqual((queue.running, queue.hold_s), (0, hold_s))
 
+    def test_named_rate(self):
+        """Requests above the named rate wait, by rank, whatever slots are free.
+
+        The capacity follows the rate and the time for which requests run.
+        """
+        queue = self._queue(slots=100)
+        queue.rate_limiter.set_rate(0.0, 10.0)
+        tickets = [
+            admission_queue.Ticket(rank, 10.0, 0.0) for rank in (5, 1, 3)
+        ]
+        for ticket in tickets:
+            self.assertEqual(admission_queue.Verdict.WAIT,
+                             queue.offer(0.0, ticket))
+        self.assertAlmostEqual(0.4, queue.expected_wait_s(9))
+        self.assertAlmostEqual(0.2, queue.expected_wait_s(1))
+        with self.assertRaises(admission_queue.Refused):
+            queue.offer(0.0, admission_queue.Ticket(9, 0.3, 0.0))
+        order = []
+        for tick in range(1, 17):
+            order += queue.admit_waiting(tick * 0.02)
+        self.assertEqual([tickets[1], tickets[2], tickets[0]], order)
+        self.assertAlmostEqual(10.0 * queue.hold_s, queue.capacity)
+        queue.rate_limiter.reset()
+        self.assertEqual(queue.limit, queue.capacity)
+
     def test_expired(self):
         """An expired request is removed and does not run later."""
         queue = self._queue(slots=1)
