Refuse a route that names an unknown service beside a weighted split

Cause: the service of a route was checked only if the route had no weighted split, which takes its place. Evidence: the new case of test_invalid failed before, the state was accepted. Change: every service that a route names has to be there. Result: tests.test_platform passes.

--- a/src/apricothinge/platform/wire.py
+++ b/src/apricothinge/platform/wire.py
@@ -220,10 +220,14 @@
     ]
     if row.weighted_split is None and row.service is not None:
         parts = [documents.Part(row.service, 1.0)]
-    for part in parts:
-        if part.service not in service_names:
-            raise _invalid_field(f"{field} service", repr(part.service),
+    named_services = [part.service for part in parts]
+    if row.service is not None:
+        named_services.append(row.service)
+    for service in named_services:
+        if service not in service_names:
+            raise _invalid_field(f"{field} service", repr(service),
                                  "the name of a service in `services`")
+    for part in parts:
         if part.weight < 0:
             raise _invalid_field(f"{field} weight", part.weight, "at least 0")
     if not sum(part.weight for part in parts) > 0:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -51,6 +51,7 @@
             "service": "t",
             "weight": 0
         }]
+        split = [{"service": "s", "weight": 1}, {"service": "t", "weight": 0}]
         negative_split = [{
             "service": "s",
             "weight": -1
@@ -60,6 +61,7 @@
         }]
         cases = {
             "service": _route_row(service="nobody"),
+            "found 'nobody'": _route_row(split=split, service="nobody"),
             "weights": _route_row(split=zero_split, service=None),
             "weight": _route_row(split=negative_split, service=None),
             "timeoutS": _route_row(timeout=601),
