Log what a control member drops at its start, and count live voters

Change: control:log_truncated and control:log_replaced with what was dropped; the gauge apricothinge_control_live_voters on the leader. Result: tests.test_storage and tests.test_mesh_decisions pass.

--- a/src/apricothinge/control/storage.py
+++ b/src/apricothinge/control/storage.py
@@ -8,6 +8,7 @@
 from typing import Final
 import zlib
 
+import eliot
 import msgspec
 
 from apricothinge import errors
@@ -309,6 +310,11 @@
         """
         if any(entry.index == snapshot.index and entry.term != snapshot.term
                for entry in entries):
+            eliot.log_message("control:log_replaced",
+                              folder=str(self._folder),
+                              snapshot_index=snapshot.index,
+                              snapshot_term=snapshot.term,
+                              dropped_entries=len(entries))
             os.ftruncate(self._log, 0)
             os.fsync(self._log)
             self._size_by_index = {}
@@ -334,6 +340,10 @@
             if decoded is not None and decoded[2] > offset:
                 raise self._corruption_error("log", offset)
             position = data.find(_MAGIC_PREFIX, position + 1)
+        eliot.log_message("control:log_truncated",
+                          folder=str(self._folder),
+                          from_byte=offset,
+                          dropped_bytes=len(data) - offset)
         os.ftruncate(self._log, offset)
         os.fsync(self._log)
 
--- a/src/apricothinge/mesh/control.py
+++ b/src/apricothinge/mesh/control.py
@@ -448,6 +448,10 @@
         control_metrics.quorum_age.set(self.group_member.quorum_age_s())
         control_metrics.members.set(
             sum(member.voter for member in core.members.values()))
+        control_metrics.live_voters.set(
+            membership.
+            live_voters(core.members, core.last_contact_age_s(self._loop.time())
+                       ) if self.group_member.is_leader else 0)
         control_metrics.nodes.set(0 if self._hub is
                                   None else len(self._hub.rows()))
         return control_metrics.render()
--- a/src/apricothinge/mesh/membership.py
+++ b/src/apricothinge/mesh/membership.py
@@ -12,7 +12,7 @@
 
 from apricothinge.control import raft
 
-__all__ = ["next_members"]
+__all__ = ["live_voters", "next_members"]
 
 # Longer than an election plus the retransmission of a packet.
 _FAILURE_TIMEOUT_S: Final = 3.0
@@ -51,6 +51,17 @@
     return None
 
 
+def live_voters(members: raft.Members, silence_s: dict[str, float]) -> int:
+    """Returns the number of voters that responded lately.
+
+    Args:
+        members: All members by name.
+        silence_s: Seconds since the latest response of each; 0 for the leader.
+    """
+    live = _live(members, silence_s)
+    return sum(members[name].voter for name in live)
+
+
 def _superseded(name: str, members: raft.Members,
                 silence_s: dict[str, float]) -> bool:
     """Tells whether another member at its address responded more recently."""
--- a/src/apricothinge/metrics.py
+++ b/src/apricothinge/metrics.py
@@ -111,8 +111,8 @@
     """Metrics of a control instance."""
 
     __slots__ = ("registry", "term", "is_leader", "commit", "apply_lag",
-                 "snapshot", "quorum_age", "members", "nodes", "claims",
-                 "changes")
+                 "snapshot", "quorum_age", "members", "live_voters", "nodes",
+                 "claims", "changes")
 
     def __init__(self) -> None:
         self.registry = prometheus_client.CollectorRegistry()
@@ -128,6 +128,8 @@
         self.quorum_age = self._gauge("quorum_age_seconds",
                                       "Time since a quorum was confirmed.")
         self.members = self._gauge("members", "Voting members.")
+        self.live_voters = self._gauge(
+            "live_voters", "Voting members heard of lately, on the leader.")
         self.nodes = self._gauge("attached_nodes",
                                  "Nodes attached to this instance.")
         self.claims = self._gauge("claims", "Stored idempotency key claims.")
--- a/tests/test_mesh_decisions.py
+++ b/tests/test_mesh_decisions.py
@@ -456,6 +456,13 @@
         changed = membership.next_members(changed, silence, {"a", "b", "c/new"})
         self.assertEqual(sorted(changed), ["a", "b", "c/new"])
 
+    def test_live_voters(self):
+        """A silent voter, a replaced one and a learner do not count."""
+        members = mesh_builders.members("abc", "d")
+        members["c/new"] = mesh_builders.member("10.0.0.3", False)
+        silence = {"a": 0.0, "b": 9.0, "c": 1.0, "d": 0.1, "c/new": 0.1}
+        self.assertEqual(1, membership.live_voters(members, silence))
+
     def test_permanently_failed_member(self):
         """The learner is promoted in place of a failed voter."""
         members = mesh_builders.members("abc", "d")
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -80,6 +80,24 @@
             self.assertEqual([1, 2, 3], [e.index for e in loaded.entries])
             self.assertEqual(intact_size, len((self.path / "log").read_bytes()))
 
+    def test_dropped_log_is_logged(self):
+        """What is dropped at the start can be seen afterwards."""
+        store = self._open()
+        store.append([_entry(1), _entry(2)], None)
+        with (self.path / "log").open("ab") as log:
+            log.write(b"half")
+        with mock.patch.object(storage.eliot, "log_message") as log_message:
+            self._open().load()
+        self.assertEqual("control:log_truncated", log_message.call_args.args[0])
+        self.assertEqual(4, log_message.call_args.kwargs["dropped_bytes"])
+        self._crash_after_renames(
+            1, lambda: store.save_snapshot(
+                raft_messages.Snapshot(2, 5, {}, b"state"), []))
+        with mock.patch.object(storage.eliot, "log_message") as log_message:
+            self._open().load()
+        self.assertEqual("control:log_replaced", log_message.call_args.args[0])
+        self.assertEqual(5, log_message.call_args.kwargs["snapshot_term"])
+
     def test_append_after_torn_tail(self):
         """Entries appended after truncating a torn write are read back."""
         self._open().append(_entries(2), None)
