Test that a late check-in brings no upstream back after a restart

Cause: the same class as the forgotten rate: that an upstream drains or has deregistered was known to the process that had acknowledged it alone.

--- a/tests/test_upstream_notices.py
+++ b/tests/test_upstream_notices.py
@@ -158,14 +158,44 @@
         """The other nodes tell a restarted one that its upstream leaves."""
         await self._start()
         await self._send_until_leaving()
-        await self.mesh.wait_until(lambda: any(
-            peer.row.instance == "n0" and not peer.row.upstream.usable
-            for peer in self.mesh.nodes[2]._peer_table.by_instance.values()))
+        await self._wait_until_known()
         await self.mesh.restart_node(0)
         await self._assert_gets_nothing((1, 2))
         await asyncio.sleep(1.0)
         await self._assert_gets_nothing()
 
+    async def _assert_kept_across_restart(self, leave):
+        """Checks that a late check-in does not bring an upstream back.
+
+        Args:
+            leave: Function that makes the upstream leave.
+        """
+        await self._start()
+        self.leaving = False
+        await self._send_until_leaving()
+        leave(self.mesh.nodes[0].upstream)
+        await self._wait_until_known()
+        await self.mesh.restart_node(0)
+        await asyncio.sleep(1.0)
+        await self._assert_gets_nothing()
+
+    async def test_late_check_in_after_deregistration_and_restart(self):
+        """An upstream that deregistered at an earlier process stays away."""
+        await self._assert_kept_across_restart(
+            lambda upstream: upstream.deregister("u0", 1000))
+
+    async def test_late_check_in_after_draining_and_restart(self):
+        """An upstream that drained at an earlier process stays away."""
+        await self._assert_kept_across_restart(
+            lambda upstream: upstream.check_in(
+                mesh_builders.check_in("u0", sequence=50, draining=True)))
+
+    async def _wait_until_known(self):
+        """Waits until another node knows that the upstream leaves."""
+        await self.mesh.wait_until(lambda: any(
+            peer.row.instance == "n0" and not peer.row.upstream.usable
+            for peer in self.mesh.nodes[2]._peer_table.by_instance.values()))
+
     async def test_next_upstream_at_the_address(self):
         """The next lifetime at the address gets requests again."""
         await self._start()
