Keep the log readable by the version before

Cause: the position of an entry in its write stood in a record header of its own. The version before takes such a record for a torn write at the start of the log and empties it; an operator who goes back would lose what was acknowledged by that member. Change: the position is a further field of the logged entry, which earlier versions ignore, and the header is as before. Lines of announcements name the upstream.

--- a/src/apricothinge/control/storage.py
+++ b/src/apricothinge/control/storage.py
@@ -21,9 +21,6 @@
 
 _MAGIC: Final = b"\xa7LR1"
 _RECORD_HEADER: Final = struct.Struct("<4sII")
-_LOG_MAGIC: Final = b"\xa7LR2"
-_LOG_HEADER: Final = struct.Struct("<4sIII")
-_MAGIC_PREFIX: Final = b"\xa7LR"
 _MAX_RECORD_BYTES: Final = 256 << 20
 _DISK_ID_BYTES: Final = 8
 # Added to the names of damaged files, which are kept for later inspection.
@@ -34,6 +31,19 @@
 _PROBE_BYTES: Final = 256 << 10
 
 
+class _LoggedEntry(messages.Entry, frozen=True, array_like=True):
+    """An entry as written to the log.
+
+    Earlier versions ignore the additional field, and write none.
+
+    Attributes:
+        position: Offset of its record in the write that it was part of, in
+            bytes. It tells a torn write from a corrupt log.
+    """
+
+    position: int = 0
+
+
 class PersistentState:
     """State of a member as read at start.
 
@@ -115,51 +125,6 @@
     return payload, start + length
 
 
-def _log_checksum(payload: bytes, position: int) -> int:
-    # A zeroed header must not pass for an empty record.
-    return zlib.crc32(payload, zlib.crc32(b"%d %d" % (len(payload), position)))
-
-
-def _encode_log_records(payloads: list[bytes]) -> list[bytes]:
-    """Returns the records of one write to the log.
-
-    Each names its position in the write, which tells a torn write from a
-    corrupt log.
-    """
-    records = []
-    position = 0
-    for payload in payloads:
-        record = _LOG_HEADER.pack(_LOG_MAGIC, len(payload), position,
-                                  _log_checksum(payload, position)) + payload
-        records.append(record)
-        position += len(record)
-    return records
-
-
-def _decode_log_record(data: bytes,
-                       offset: int) -> tuple[bytes, int, int] | None:
-    """Decodes the log record at an offset.
-
-    Returns:
-        Its payload, its end and the offset at which its write started; None if
-        the record is not intact. Records of earlier versions of the format do
-        not name their write and count as one write each.
-    """
-    if not data.startswith(_LOG_MAGIC, offset):
-        decoded = _decode_record(data, offset)
-        return None if decoded is None else (*decoded, offset)
-    if offset + _LOG_HEADER.size > len(data):
-        return None
-    _, length, position, checksum = _LOG_HEADER.unpack_from(data, offset)
-    start = offset + _LOG_HEADER.size
-    if length > _MAX_RECORD_BYTES or start + length > len(data):
-        return None
-    payload = data[start:start + length]
-    if _log_checksum(payload, position) != checksum:
-        return None
-    return payload, start + length, offset - position
-
-
 class FileStorage(Storage):
     """Keeps the files `disk`, `vote`, `snapshot` and `log` in one data folder.
 
@@ -178,7 +143,7 @@
         self._folder = folder
         self._encoder = msgspec.msgpack.Encoder()
         self._vote_decoder = msgspec.msgpack.Decoder(messages.Vote)
-        self._entry_decoder = msgspec.msgpack.Decoder(messages.Entry)
+        self._entry_decoder = msgspec.msgpack.Decoder(_LoggedEntry)
         self._snapshot_decoder = msgspec.msgpack.Decoder(messages.Snapshot)
         self._size_by_index: dict[int, int] = {}
         folder.mkdir(parents=True, exist_ok=True)
@@ -290,14 +255,15 @@
         self._size_by_index = {}
         entries: list[messages.Entry] = []
         while offset < len(data):
-            decoded = _decode_log_record(data, offset)
+            decoded = _decode_record(data, offset)
             if decoded is None:
                 self._truncate_torn_tail(data, offset)
                 break
-            payload, end, _ = decoded
+            payload, end = decoded
             entry = self._entry_decoder.decode(payload)
             self._size_by_index[entry.index] = end - offset
-            entries.append(entry)
+            entries.append(
+                messages.Entry(entry.index, entry.term, entry.kind, entry.data))
             offset = end
         return entries
 
@@ -334,12 +300,14 @@
         a write that started after the offset therefore shows that synced data
         is corrupt, which raises an error instead.
         """
-        position = data.find(_MAGIC_PREFIX, offset + 1)
-        while position != -1:
-            decoded = _decode_log_record(data, position)
-            if decoded is not None and decoded[2] > offset:
-                raise self._corruption_error("log", offset)
-            position = data.find(_MAGIC_PREFIX, position + 1)
+        start = data.find(_MAGIC, offset + 1)
+        while start != -1:
+            decoded = _decode_record(data, start)
+            if decoded is not None:
+                entry = self._entry_decoder.decode(decoded[0])
+                if start - entry.position > offset:
+                    raise self._corruption_error("log", offset)
+            start = data.find(_MAGIC, start + 1)
         eliot.log_message("control:log_truncated",
                           folder=str(self._folder),
                           from_byte=offset,
@@ -350,12 +318,23 @@
     def save_vote(self, vote: messages.Vote) -> None:
         self._write_record_file("vote", self._encoder.encode(vote))
 
+    def _encode_entries(self, entries: list[messages.Entry]) -> list[bytes]:
+        """Returns the records of entries that are written at once."""
+        records = []
+        position = 0
+        for entry in entries:
+            logged = _LoggedEntry(entry.index, entry.term, entry.kind,
+                                  entry.data, position)
+            record = _encode_record(self._encoder.encode(logged))
+            records.append(record)
+            position += len(record)
+        return records
+
     def append(self, entries: list[messages.Entry],
                replace_from: int | None) -> None:
         if replace_from is not None:
             self._truncate_from(replace_from)
-        records = _encode_log_records(
-            [self._encoder.encode(entry) for entry in entries])
+        records = self._encode_entries(entries)
         length = os.fstat(self._log).st_size
         try:
             _write_and_sync(self._log, b"".join(records))
@@ -377,8 +356,7 @@
     def save_snapshot(self, snapshot: messages.Snapshot,
                       entries: list[messages.Entry]) -> None:
         self._write_record_file("snapshot", self._encoder.encode(snapshot))
-        records = _encode_log_records(
-            [self._encoder.encode(entry) for entry in entries])
+        records = self._encode_entries(entries)
         # If this fails, the old log is longer than needed and still valid.
         self._write_file_atomically("log", b"".join(records))
         self._size_by_index = {
--- a/src/apricothinge/mesh/announcements.py
+++ b/src/apricothinge/mesh/announcements.py
@@ -32,7 +32,7 @@
     """
 
     __slots__ = ("leaving", "rate_limit", "_names", "_rate_limiter",
-                 "_responded", "_recalled_rows")
+                 "_upstream_id", "_responded", "_recalled_rows")
 
     def __init__(self, header_names: names.HeaderNames,
                  rate_limiter: upstream_rate.UpstreamRateLimiter) -> None:
@@ -40,6 +40,7 @@
         self.rate_limit = 0.0
         self._names = header_names
         self._rate_limiter = rate_limiter
+        self._upstream_id = ""
         self._responded = False
         self._recalled_rows: collections.deque[
             frames.UpstreamRow] = collections.deque(maxlen=_MAX_RECALLED_ROWS)
@@ -54,6 +55,7 @@
         """
         self.leaving = False
         self.rate_limit = 0.0
+        self._upstream_id = upstream_id
         self._responded = False
         self._rate_limiter.reset()
         for row in self._recalled_rows:
@@ -76,7 +78,9 @@
         elif _RATE.fullmatch(rate):
             self._rate_limiter.set_rate(now, float(rate))
         else:
-            log.event("upstream:rate_invalid", rate=repr(rate))
+            log.event("upstream:rate_invalid",
+                      upstream=self._upstream_id,
+                      rate=repr(rate))
         return self._update_rate_limit() or self.leaving != was_leaving
 
     def recall(self, now: float, row: frames.UpstreamRow,
@@ -108,6 +112,9 @@
         change = abs(rate - self.rate_limit)
         if change <= _RATE_CHANGE_THRESHOLD * min(rate, self.rate_limit):
             return False
-        log.event("upstream:rate_limit", rate=rate, before=self.rate_limit)
+        log.event("upstream:rate_limit",
+                  upstream=self._upstream_id,
+                  rate=rate,
+                  before=self.rate_limit)
         self.rate_limit = rate
         return True
--- a/src/apricothinge/mesh/control.py
+++ b/src/apricothinge/mesh/control.py
@@ -448,10 +448,11 @@
         control_metrics.quorum_age.set(self.group_member.quorum_age_s())
         control_metrics.members.set(
             sum(member.voter for member in core.members.values()))
-        control_metrics.live_voters.set(
-            membership.
-            live_voters(core.members, core.last_contact_age_s(self._loop.time())
-                       ) if self.group_member.is_leader else 0)
+        live_voters = 0
+        if self.group_member.is_leader:
+            live_voters = membership.live_voters(
+                core.members, core.last_contact_age_s(self._loop.time()))
+        control_metrics.live_voters.set(live_voters)
         control_metrics.nodes.set(0 if self._hub is
                                   None else len(self._hub.rows()))
         return control_metrics.render()
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -152,7 +152,7 @@
                                  [e.index for e in self._open().load().entries])
 
     def test_log_of_previous_version(self):
-        """Entries written one record each, without a position, are read."""
+        """Entries that were written without a position are read."""
         encoder = msgspec.msgpack.Encoder()
         log_content = b""
         for entry in _entries(3):
@@ -173,6 +173,22 @@
             with self.assertRaises(errors.ApricothingeError):
                 self._open().load()
 
+    def test_log_for_previous_version(self):
+        """A version that knows no positions reads all entries."""
+        store = self._open()
+        entries = [_entry(index) for index in (1, 2, 3)]
+        store.append(entries, None)
+        data = (self.path / "log").read_bytes()
+        found = []
+        while data:
+            magic, length, checksum = struct.unpack_from("<4sII", data)
+            payload, data = data[12:12 + length], data[12 + length:]
+            self.assertEqual((b"\xa7LR1", zlib.crc32(payload)),
+                             (magic, checksum))
+            found.append(
+                msgspec.msgpack.decode(payload, type=raft_messages.Entry))
+        self.assertEqual(entries, found)
+
     def test_conflicting_log_after_crash_during_snapshot(self):
         """A snapshot replaces a conflicting log, also across a crash.
 
