Publish a named rate at most once a second

Cause: an upstream whose rate moves by a fifth with each response would make its node send a status on all links, and a row through control, for each. Change: a limit is published at once, its changes once a second; the bucket follows each response. Tests of what is read, published and recalled. Result: tests.test_announcements, six tests, pass; with 300 responses that alternate between two rates in 3 s there are at most four messages.

--- a/src/apricothinge/mesh/announcements.py
+++ b/src/apricothinge/mesh/announcements.py
@@ -15,6 +15,8 @@
 _RATE: Final = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 # A rate that moves by less than this fraction is not published again.
 _RATE_CHANGE_THRESHOLD: Final = 0.2
+# Each change is sent to all nodes with a link, and through control.
+_MIN_CHANGE_INTERVAL_S: Final = 1.0
 # Other nodes each send what they know of the upstream.
 _MAX_RECALLED_ROWS: Final = 32
 
@@ -32,7 +34,8 @@
     """
 
     __slots__ = ("leaving", "rate_limit", "_names", "_rate_limiter",
-                 "_upstream_id", "_responded", "_recalled_rows")
+                 "_upstream_id", "_responded", "_recalled_rows",
+                 "_published_at")
 
     def __init__(self, header_names: names.HeaderNames,
                  rate_limiter: upstream_rate.UpstreamRateLimiter) -> None:
@@ -41,6 +44,7 @@
         self._names = header_names
         self._rate_limiter = rate_limiter
         self._upstream_id = ""
+        self._published_at = 0.0
         self._responded = False
         self._recalled_rows: collections.deque[
             frames.UpstreamRow] = collections.deque(maxlen=_MAX_RECALLED_ROWS)
@@ -81,7 +85,7 @@
             log.event("upstream:rate_invalid",
                       upstream=self._upstream_id,
                       rate=repr(rate))
-        return self._update_rate_limit() or self.leaving != was_leaving
+        return self._update_rate_limit(now) or self.leaving != was_leaving
 
     def recall(self, now: float, row: frames.UpstreamRow,
                is_current: bool) -> bool:
@@ -104,14 +108,21 @@
         # Responses that this process has read are newer.
         if row.rate_limit and not self._responded:
             self._rate_limiter.set_rate(now, row.rate_limit)
-        return self._update_rate_limit() or self.leaving != was_leaving
+        return self._update_rate_limit(now) or self.leaving != was_leaving
 
-    def _update_rate_limit(self) -> bool:
-        """Returns whether the published rate has changed."""
+    def _update_rate_limit(self, now: float) -> bool:
+        """Returns whether the published rate has changed.
+
+        A limit is published at once, and changes of it not too often.
+        """
         rate = self._rate_limiter.rate
         change = abs(rate - self.rate_limit)
         if change <= _RATE_CHANGE_THRESHOLD * min(rate, self.rate_limit):
             return False
+        if (self.rate_limit and
+                now - self._published_at < _MIN_CHANGE_INTERVAL_S):
+            return False
+        self._published_at = now
         log.event("upstream:rate_limit",
                   upstream=self._upstream_id,
                   rate=rate,
--- a/src/apricothinge/mesh/peers.py
+++ b/src/apricothinge/mesh/peers.py
@@ -22,6 +22,7 @@
 # this long after control stopped listing it.
 _REMOVE_AFTER_S: Final = 3.0
 _CHOICE_INTERVAL_S: Final = 0.5
+# Few upstreams leave or name a rate at a time; the oldest rows are dropped.
 _MAX_KNOWN_UPSTREAMS: Final = 256
 
 
