Pace cold upstreams, empty failure domains, keep requests in their homes

Cause: three things that operators and upstreams say were not read.

Cold upstreams. The node beside an upstream is the only way to it, so it paces it: a token bucket at the rate that the service states, which also counts requests sent while warm, starts empty in a new process, and holds beside a named rate. A crash that is noticed by its requests counts as a start, and a late report of the lifetime before does not end the pacing. The feedback to entries follows a sudden change of the slots at once, so entries refuse what does not fit.

Updates carry the orders with their ages, and nodes without control ask neighbours. The node beside an upstream stops it, at a time spread over half of the limit, and other nodes avoid the domain. At the end upstreams count as cold.

Regions of routes and organisations are decoded and bind the choice of an instance; links are kept to some instances of each region.

--- a/src/apricothinge/link/frames.py
+++ b/src/apricothinge/link/frames.py
@@ -300,6 +300,9 @@
         grants_tokens: Whether the token server is ready to grant tokens.
         members: "IP:port" of every control member.
         crashes: Crash reports from all nodes, as in Report.
+        evacuation_revision: Number of changes of `evacuated` so far.
+        evacuated: Failure domains whose upstreams get no new requests, each
+            with the seconds since the order was accepted.
     """
 
     acknowledged: int
@@ -312,6 +315,8 @@
     grants_tokens: bool
     members: list[str]
     crashes: list[tuple[str, str]]
+    evacuation_revision: int = 0
+    evacuated: dict[str, float] = {}
 
 
 class TokenRequest(_Message, tag=20):
@@ -396,12 +401,16 @@
         document: Compressed desired state.
         rows: Nodes known to the sender, including itself.
         node_count: Number of nodes in the fleet.
+        evacuation_revision: As in Update.
+        evacuated: Failure domains whose upstreams get no new requests.
     """
 
     revision: int
     document: bytes
     rows: list[NodeRow]
     node_count: int
+    evacuation_revision: int = 0
+    evacuated: list[str] = []
 
 
 Frame = Union[Hello, Ping, Pong, Call, Data, Credit, Cancel, ResponseHead,
--- a/src/apricothinge/mesh/admission_queue.py
+++ b/src/apricothinge/mesh/admission_queue.py
@@ -4,13 +4,14 @@
 upstream's own queue, where the node can neither refuse it nor send it
 elsewhere, and gets no response once that queue is full. The node therefore
 queues the requests that exceed the slots itself, and those that exceed the rate
-that the upstream names.
+that the upstream names or takes while it is cold.
 """
 
 import heapq
 import math
 from typing import Final
 
+from apricothinge.overload import cold_start
 from apricothinge.overload import upstream_rate
 
 __all__ = ["AdmissionQueue", "Refused", "Ticket", "Verdict"]
@@ -73,16 +74,19 @@
     Attributes:
         slots: Maximum number of requests that the upstream runs concurrently.
         running: Number of requests that the upstream runs now.
-        rate_limiter: Limits the rate of requests that the upstream gets.
+        rate_limiter: Limits requests to the rate that the upstream names.
+        cold_limiter: Limits requests while the upstream is cold.
     """
 
-    __slots__ = ("slots", "running", "rate_limiter", "_heap", "_sequence",
-                 "_hold_s", "_waiting_by_rank")
+    __slots__ = ("slots", "running", "rate_limiter", "cold_limiter", "_heap",
+                 "_sequence", "_hold_s", "_waiting_by_rank")
 
-    def __init__(self) -> None:
+    def __init__(self, now: float = 0.0) -> None:
+        """Creates an empty queue; `now` is the time in seconds."""
         self.slots = 0
         self.running = 0
         self.rate_limiter = upstream_rate.UpstreamRateLimiter()
+        self.cold_limiter = cold_start.ColdStartLimiter(now)
         self._heap: list[tuple[int, int, Ticket]] = []
         self._sequence = 0
         self._hold_s = _INITIAL_HOLD_S
@@ -98,26 +102,28 @@
         """Maximum number of requests sent to the upstream concurrently."""
         return max(1, math.floor(self.slots * _MAX_SLOT_FRACTION))
 
-    @property
-    def capacity(self) -> float:
-        """Number of requests that run concurrently at full load.
+    def capacity(self, now: float) -> float:
+        """Returns the number of requests that run concurrently at full load.
 
         At a limited rate it follows from Little's law.
         """
-        if not self.rate_limiter.rate:
-            return self.limit
-        return min(self.limit, self.rate_limiter.rate * self._hold_s)
+        capacity = float(self.limit)
+        for rate in (self.rate_limiter.rate, self.cold_limiter.rate(now)):
+            if rate:
+                capacity = min(capacity, rate * self._hold_s)
+        return capacity
 
     @property
     def queued(self) -> int:
         """Number of waiting requests."""
         return sum(self._waiting_by_rank.values())
 
-    def expected_wait_s(self, rank: int) -> float:
+    def expected_wait_s(self, now: float, rank: int) -> float:
         """Estimates the wait in seconds of a new request with a given rank."""
         ahead = sum(count for found, count in self._waiting_by_rank.items()
                     if found <= rank)
-        rate_wait_s = self.rate_limiter.wait_s(ahead)
+        rate_wait_s = max(self.rate_limiter.wait_s(ahead),
+                          self.cold_limiter.wait_s(now, ahead))
         if self.running < self.limit and not ahead:
             return rate_wait_s
         return max(rate_wait_s, (ahead + 1) * self._hold_s / self.limit)
@@ -149,10 +155,9 @@
             Refused: The expected wait is longer than the ticket's.
         """
         if (self.running < self.limit and not self._waiting_by_rank and
-                self.rate_limiter.try_take(now)):
-            self.running += 1
+                self._try_start(now)):
             return Verdict.RUN
-        wait_s = self.expected_wait_s(ticket.rank)
+        wait_s = self.expected_wait_s(now, ticket.rank)
         if now + wait_s > ticket.wait_until:
             raise Refused(wait_s)
         ticket.waiting = True
@@ -162,6 +167,15 @@
         self._waiting_by_rank[ticket.rank] = count + 1
         return Verdict.WAIT
 
+    def _try_start(self, now: float) -> bool:
+        """Takes a slot for a request if the limits of the rate permit it."""
+        if (not self.cold_limiter.has_token(now) or
+                not self.rate_limiter.try_take(now)):
+            return False
+        self.cold_limiter.take(now)
+        self.running += 1
+        return True
+
     def _dequeue(self, ticket: Ticket) -> None:
         ticket.waiting = False
         count = self._waiting_by_rank[ticket.rank] - 1
@@ -184,19 +198,19 @@
         """Frees the slot of a ticket that was admitted and did not run."""
         self.running -= 1
         self.rate_limiter.give_back()
+        self.cold_limiter.give_back()
 
     def admit_waiting(self, now: float) -> list[Ticket]:
         """Takes free slots for waiting tickets and returns those tickets."""
         started = []
         while self._heap and self.running < self.limit:
             _, _, ticket = self._heap[0]
-            if ticket.waiting and not self.rate_limiter.try_take(now):
+            if ticket.waiting and not self._try_start(now):
                 break
             heapq.heappop(self._heap)
             if not ticket.waiting:
                 continue
             self._dequeue(ticket)
-            self.running += 1
             started.append(ticket)
         return started
 
--- a/src/apricothinge/mesh/attachment.py
+++ b/src/apricothinge/mesh/attachment.py
@@ -249,6 +249,7 @@
                 documents.CompiledDocument(update.revision,
                                            documents.unpack(update.document)))
             self._state.report_due.set()
+        self._state.evacuate(update.evacuation_revision, update.evacuated)
         token_pool = self._state.token_pool
         token_pool.nodes = update.node_count
         sent_at = self._sent_at_by_sequence.get(update.acknowledged)
--- a/src/apricothinge/mesh/control.py
+++ b/src/apricothinge/mesh/control.py
@@ -67,6 +67,7 @@
     members: dict[str, raft_messages.Member]
     revision: int
     version: int
+    evacuated: list[str]
     nodes: list[frames.NodeRow]
 
 
@@ -385,12 +386,12 @@
     # Background tasks.
 
     async def _watch_applied(self) -> None:
-        """Publishes each new desired state as soon as it is applied."""
+        """Publishes what operators have changed as soon as it is applied."""
         while True:
             await self.group_member.applied_event.wait()
             if self._hub is not None and self._is_confirmed_leader():
                 self._update_hub_document()
-                self._hub.publish_document()
+                self._hub.publish_state()
 
     def _tick(self) -> None:
         now = self._loop.time()
@@ -453,6 +454,7 @@
             live_voters = membership.live_voters(
                 core.members, core.last_contact_age_s(self._loop.time()))
         control_metrics.live_voters.set(live_voters)
+        control_metrics.evacuated_domains.set(len(self.state_machine.evacuated))
         control_metrics.nodes.set(0 if self._hub is
                                   None else len(self._hub.rows()))
         return control_metrics.render()
@@ -466,6 +468,7 @@
                                self.group_member.quorum_age_s(),
                                dict(core.members), self.state_machine.revision,
                                self.state_machine.version,
+                               sorted(self.state_machine.evacuated),
                                [] if self._hub is None else self._hub.rows())
 
     # Operator API.
@@ -506,6 +509,30 @@
                 f"version: found {document.version}, expected more than"
                 f" {outcome.version}")
 
+    async def evacuate(self, failure_domain: str, active: bool) -> None:
+        """Starts or ends the evacuation of a failure domain.
+
+        Raises:
+            errors.ApricothingeError: NOT_LEADER; CONFIGURATION_INVALID if the
+                failure domain is unknown; UNREACHABLE if the outcome is
+                unknown.
+        """
+        known = self._settings.failure_domains
+        if known and failure_domain not in known:
+            raise errors.ApricothingeError(
+                errors.Kind.CONFIGURATION_INVALID,
+                f"failure domain: found {failure_domain!r}, expected one of"
+                f" {known}")
+        if not self.group_member.is_leader:
+            raise errors.ApricothingeError(errors.Kind.NOT_LEADER)
+        await self.group_member.propose(machine.Evacuate(
+            failure_domain, active))
+        log.event("evacuation:change",
+                  domain=failure_domain,
+                  active=active,
+                  revision=self.state_machine.evacuation_revision,
+                  evacuated=sorted(self.state_machine.evacuated))
+
     async def read(self) -> bytes:
         """Returns the current desired state as sent by the operator.
 
--- a/src/apricothinge/mesh/dispatch.py
+++ b/src/apricothinge/mesh/dispatch.py
@@ -132,7 +132,8 @@
             if (upstream_request.deadline - now < _MIN_REMAINING_S and
                     last is None and last_run is None):
                 raise errors.CallError(errors.Kind.EXPIRED)
-            target = self._router.pick(now, service, tried)
+            target = self._router.pick(now, service, tried,
+                                       upstream_request.homes)
             if target is None:
                 return self._conclude(last_run or last, service)
             tried.add(target.instance)
--- a/src/apricothinge/mesh/documents.py
+++ b/src/apricothinge/mesh/documents.py
@@ -50,6 +50,7 @@
         attempts: Maximum number of upstreams to which a request is sent.
         anonymous: Whether requests need no key.
         parts: Services that share the requests.
+        homes: Regions that the requests stay in, or None for any.
     """
 
     name: str
@@ -62,18 +63,24 @@
     attempts: int
     anonymous: bool
     parts: list[Part]
+    homes: list[str] | None = None
 
 
 class Service(msgspec.Struct, frozen=True):
-    """A service and the connection limit of its upstreams.
+    """A service and the limits of its upstreams.
 
     Attributes:
         name: Name of the service.
         connections: Maximum number of connections to one of its upstreams.
+        warm_up_s: Seconds that an upstream is cold after its start.
+        cold_rate_per_s: Requests per second that a cold upstream takes; 0 for
+            no limit.
     """
 
     name: str
     connections: int
+    warm_up_s: float = 0.0
+    cold_rate_per_s: float = 0.0
 
 
 class Organisation(msgspec.Struct, frozen=True):
@@ -86,6 +93,7 @@
             priority of a route.
         rate_per_s: Requests per second across the fleet; 0 for no limit.
         burst: Number of requests allowed at once beyond the rate.
+        homes: Regions that the requests stay in, or None for any.
     """
 
     name: str
@@ -93,6 +101,7 @@
     priority: int = 0
     rate_per_s: float = 0.0
     burst: float = 0.0
+    homes: list[str] | None = None
 
 
 class ClientLimits(msgspec.Struct, frozen=True):
@@ -163,11 +172,12 @@
         revision: Revision, incremented by each accepted change.
         document: The document.
         organisation_by_name: Organisations by name.
+        service_by_name: Services by name.
     """
 
     __slots__ = ("revision", "document", "organisation_by_name",
-                 "_route_by_prefix_by_host", "_organisation_by_digest",
-                 "_balancer_by_route")
+                 "service_by_name", "_route_by_prefix_by_host",
+                 "_organisation_by_digest", "_balancer_by_route")
 
     def __init__(self, revision: int, document: Document) -> None:
         self.revision = revision
@@ -176,6 +186,9 @@
         self.organisation_by_name = {
             organisation.name: organisation for organisation in organisations
         }
+        self.service_by_name = {
+            service.name: service for service in document.services
+        }
         self._organisation_by_digest = {
             key_digest(key): organisation for organisation in organisations
             for key in organisation.keys
--- a/src/apricothinge/mesh/entry.py
+++ b/src/apricothinge/mesh/entry.py
@@ -16,6 +16,7 @@
 from apricothinge.mesh import state
 from apricothinge.mesh import upstream
 from apricothinge.overload import crashes
+from apricothinge.overload import homes
 from apricothinge.web import messages
 from apricothinge.web import server
 
@@ -262,4 +263,8 @@
             crashes.request_fingerprint(organisation_name, request.method,
                                         request.target, body.prefix), b"",
             body.length, body.complete)
-        return upstream.UpstreamRequest(call, body, deadline)
+        return upstream.UpstreamRequest(
+            call, body, deadline,
+            homes.common_homes(
+                route.homes, None if organisation is None or route.anonymous
+                else organisation.homes))
--- a/src/apricothinge/mesh/hub.py
+++ b/src/apricothinge/mesh/hub.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import math
 from typing import Final
 
 from apricothinge import log
@@ -80,7 +81,7 @@
                  "_entry_by_instance", "_attached_node_by_link",
                  "_table_version", "_started_at", "_token_server",
                  "_crash_reports", "_seen_crash_reports", "_granted_at",
-                 "_grants_announced")
+                 "_grants_announced", "_evacuated_at_by_domain")
 
     def __init__(self, state_machine: machine.MeshStateMachine,
                  member_addresses: Callable[[], list[str]]) -> None:
@@ -96,6 +97,9 @@
         self._seen_crash_reports: set[tuple[str, str]] = set()
         self._granted_at = 0.0
         self._grants_announced = False
+        # The leaders before may have accepted these orders long ago.
+        self._evacuated_at_by_domain: dict[str, float] = dict.fromkeys(
+            state_machine.evacuated, -math.inf)
 
     def set_document(self, document: documents.Document) -> None:
         """Sets the organisations whose rate limit tokens are allocated."""
@@ -192,8 +196,8 @@
         if entry is not None:
             entry.disconnected_at = self._loop.time()
 
-    def publish_document(self) -> None:
-        """Sends a new desired state to all attached nodes."""
+    def publish_state(self) -> None:
+        """Sends new orders of operators to all attached nodes."""
         self._mark_all_due()
         self.send_updates()
 
@@ -268,7 +272,22 @@
                              self._state_machine.revision, document, rows,
                              removed, complete, len(self.rows()),
                              self._token_server.is_ready(runtime.boottime_s()),
-                             self._member_addresses(), crash_reports)
+                             self._member_addresses(), crash_reports,
+                             self._state_machine.evacuation_revision,
+                             self._evacuation_ages())
+
+    def _evacuation_ages(self) -> dict[str, float]:
+        """Returns the evacuated failure domains and the age of each order."""
+        now = self._loop.time()
+        ordered_at = self._evacuated_at_by_domain
+        self._evacuated_at_by_domain = {
+            domain: ordered_at.get(domain, now)
+            for domain in self._state_machine.evacuated
+        }
+        return {
+            domain: now - accepted_at
+            for domain, accepted_at in self._evacuated_at_by_domain.items()
+        }
 
     def stop(self, redirect: frames.Redirect) -> None:
         """Detaches all nodes and tells them where to attach instead."""
--- a/src/apricothinge/mesh/machine.py
+++ b/src/apricothinge/mesh/machine.py
@@ -6,7 +6,7 @@
 
 from apricothinge.control import raft
 
-__all__ = ["MeshStateMachine", "Outcome", "Replace", "Verdict"]
+__all__ = ["Evacuate", "MeshStateMachine", "Outcome", "Replace", "Verdict"]
 
 # Operators send hundreds of changes a day and resend a change that was not
 # answered; a remembered change is not applied twice.
@@ -31,6 +31,18 @@
     document: bytes
 
 
+class Evacuate(msgspec.Struct, frozen=True, array_like=True, tag=True):
+    """Starts or ends the evacuation of a failure domain.
+
+    Attributes:
+        failure_domain: The failure domain.
+        active: Whether its upstreams get no new requests from now on.
+    """
+
+    failure_domain: str
+    active: bool
+
+
 class Verdict:
     """Result codes of a change."""
 
@@ -59,6 +71,8 @@
     text: bytes
     document: bytes
     accepted: list[bytes]
+    evacuated: list[str] = []
+    evacuation_revision: int = 0
 
 
 class MeshStateMachine(raft.StateMachine):
@@ -69,6 +83,8 @@
         version: Version of the desired state.
         text: Desired state as sent by the operator, compressed.
         document: Desired state as used by nodes, packed.
+        evacuated: Failure domains whose upstreams get no new requests.
+        evacuation_revision: Number of changes of `evacuated`.
     """
 
     def __init__(self) -> None:
@@ -76,8 +92,10 @@
         self.version = 0
         self.text = b""
         self.document = b""
+        self.evacuated: frozenset[str] = frozenset()
+        self.evacuation_revision = 0
         self._accepted: dict[bytes, None] = {}
-        self._decoder = msgspec.msgpack.Decoder(Replace)
+        self._decoder = msgspec.msgpack.Decoder(Replace | Evacuate)
 
     def accepted(self, change_id: bytes) -> bool:
         """Tells whether a change is among the remembered accepted changes."""
@@ -85,6 +103,8 @@
 
     def apply(self, data: bytes) -> object:
         command = self._decoder.decode(data)
+        if isinstance(command, Evacuate):
+            return self._evacuate(command)
         if command.change_id in self._accepted:
             return Outcome(Verdict.ACCEPTED, self.version)
         if command.base != self.version:
@@ -100,10 +120,21 @@
             del self._accepted[next(iter(self._accepted))]
         return Outcome(Verdict.ACCEPTED, self.version)
 
+    def _evacuate(self, command: Evacuate) -> Outcome:
+        """Applies an order; one that is resent changes nothing."""
+        domain = frozenset((command.failure_domain,))
+        evacuated = (self.evacuated |
+                     domain if command.active else self.evacuated - domain)
+        if evacuated != self.evacuated:
+            self.evacuated = evacuated
+            self.evacuation_revision += 1
+        return Outcome(Verdict.ACCEPTED, self.version)
+
     def snapshot(self) -> bytes:
         return msgspec.msgpack.encode(
             _Snapshot(self.revision, self.version, self.text, self.document,
-                      list(self._accepted)))
+                      list(self._accepted), sorted(self.evacuated),
+                      self.evacuation_revision))
 
     def restore(self, data: bytes) -> None:
         state = msgspec.msgpack.decode(data, type=_Snapshot)
@@ -112,3 +143,5 @@
         self.text = state.text
         self.document = state.document
         self._accepted = dict.fromkeys(state.accepted)
+        self.evacuated = frozenset(state.evacuated)
+        self.evacuation_revision = state.evacuation_revision
--- a/src/apricothinge/mesh/node.py
+++ b/src/apricothinge/mesh/node.py
@@ -16,12 +16,13 @@
 from apricothinge.mesh import attachment
 from apricothinge.mesh import costs
 from apricothinge.mesh import dispatch
-from apricothinge.mesh import documents
 from apricothinge.mesh import downstream
 from apricothinge.mesh import entry
+from apricothinge.mesh import evacuations
 from apricothinge.mesh import names
 from apricothinge.mesh import peers
 from apricothinge.mesh import state
+from apricothinge.mesh import state_applier
 from apricothinge.mesh import state_exchange
 from apricothinge.mesh import streams
 from apricothinge.mesh import upstream
@@ -151,7 +152,11 @@
         self._settings = node_settings
         rng = rng or random.Random()
         incarnation = time.time_ns() // 1000
-        self.state = state.NodeState(header_names, node_settings.service)
+        self.state = state.NodeState(
+            header_names, node_settings.service,
+            evacuations.Evacuations(node_settings.instance,
+                                    node_settings.failure_domain,
+                                    node_settings.evacuation_s))
         self._cost_table = costs.CostTable()
         self._local_costs = costs.LocalCosts(self._cost_table,
                                              self._loop.time())
@@ -162,13 +167,17 @@
             self._pool, self.state.crash_table, self.state.metrics,
             self._local_costs, incarnation)
         self.upstream.on_change = self._on_upstream_changed
-        self._router = routing.Router(node_settings.failure_domain, "", rng)
+        self._region = node_settings.region_by_domain.get(
+            node_settings.failure_domain, "")
+        self._router = routing.Router(node_settings.failure_domain,
+                                      self._region, rng)
         self._monitor = connection.KeepaliveMonitor()
         self.hello = frames.Hello(node_settings.instance, incarnation)
         self._peer_table = peers.PeerTable(node_settings.instance,
                                            node_settings.failure_domain,
                                            self.hello, self._monitor,
-                                           self._router, self._cost_table)
+                                           self._router, self._cost_table,
+                                           node_settings.region_by_domain)
         self._dispatcher = dispatch.Dispatcher(node_settings.instance,
                                                self._router, self._peer_table,
                                                self.upstream, header_names,
@@ -178,7 +187,6 @@
         self.incoming_calls = streams.IncomingCalls(self.upstream.run,
                                                     self.upstream.load,
                                                     self._pause_clock)
-        self._limits = node_settings.limits
         self._link_server: asyncio.Server | None = None
         self.caller = settings.parse_address(node_settings.caller)
         self.link = settings.parse_address(node_settings.link)
@@ -204,7 +212,9 @@
         self._tick_task: asyncio.Task[None] | None = None
         self._ticks = 0
         self._sent_load: frames.Load | None = None
-        self._applied_document: documents.CompiledDocument | None = None
+        self._state_applier = state_applier.StateApplier(
+            node_settings, self.state, self._router, self.upstream,
+            self._caller_server)
         self.state_exchange = state_exchange.StateExchange(
             self.state, self._peer_table, self._attachment, self.incoming_calls,
             self._row_builder, rng)
@@ -272,8 +282,9 @@
         now = self._loop.time()
         self._router.upsert(
             routing.Upstream(node_settings.instance, upstream_row.service,
-                             node_settings.failure_domain, "", self.link,
-                             not upstream_row.usable, upstream_row.born, now))
+                             node_settings.failure_domain, self._region,
+                             self.link, not upstream_row.usable,
+                             upstream_row.born, now))
         self._router.set_cold(node_settings.instance, now, upstream_row.cold_s)
 
     def _tick(self) -> None:
@@ -289,7 +300,7 @@
                                        self._attachment.has_grants)
             self._peer_table.tick(now)
             self._router.tick(now)
-            self._apply_limits()
+            self._state_applier.tick()
             self.upstream.update_load_feedback(
                 self._router.service_capacity_ratio(self.upstream.service))
             self._update_local_load()
@@ -322,21 +333,6 @@
             load = self.upstream.load()
             target.update_load(load.running, load.queued, load.slots, load.part)
 
-    def _apply_limits(self) -> None:
-        """Applies the limits of the desired state to the caller server."""
-        compiled = self.state.compiled
-        if compiled is None or compiled is self._applied_document:
-            return
-        self._applied_document = compiled
-        document_limits = compiled.document.limits
-        self._caller_server.set_limits(
-            settings.Limits(header_bytes=max(1024,
-                                             document_limits.header_bytes),
-                            header_timeout_s=document_limits.header_timeout_s,
-                            idle_timeout_s=document_limits.idle_timeout_s,
-                            body_timeout_s=self._limits.body_timeout_s,
-                            connections=self._limits.connections))
-
     def _render_metrics(self) -> bytes:
         node_metrics = self.state.metrics
         load = self.upstream.load()
@@ -344,6 +340,8 @@
         upstream_row = self.upstream.row()
         node_metrics.upstream_rate_limit.set(0.0 if upstream_row is
                                              None else upstream_row.rate_limit)
+        node_metrics.upstream_cold.set(0.0 if upstream_row is
+                                       None else upstream_row.cold_s)
         node_metrics.in_flight.set(load.running)
         node_metrics.queued.set(load.queued)
         node_metrics.revision.set(self.state.revision)
--- a/src/apricothinge/mesh/peers.py
+++ b/src/apricothinge/mesh/peers.py
@@ -170,14 +170,17 @@
 
     __slots__ = ("by_instance", "hello", "monitor", "cost_table", "make_offer",
                  "_router", "_own_instance", "_own_domain", "_loop",
-                 "_chosen_at", "_choice_due", "_known_upstream_by_instance")
+                 "_chosen_at", "_choice_due", "_known_upstream_by_instance",
+                 "_region_by_domain")
 
     def __init__(self, own_instance: str, own_domain: str, hello: frames.Hello,
                  monitor: connection.KeepaliveMonitor, router: routing.Router,
-                 cost_table: costs.CostTable) -> None:
+                 cost_table: costs.CostTable,
+                 region_by_domain: dict[str, str]) -> None:
         self._loop = asyncio.get_running_loop()
         self._own_instance = own_instance
         self._own_domain = own_domain
+        self._region_by_domain = region_by_domain
         self._chosen_at = 0.0
         self._choice_due = False
         self.hello = hello
@@ -270,7 +273,9 @@
             routing.Upstream(
                 row.instance,
                 "" if upstream_row is None else upstream_row.service,
-                row.failure_domain, "", settings.parse_address(row.address),
+                row.failure_domain,
+                self._region_by_domain.get(row.failure_domain, ""),
+                settings.parse_address(row.address),
                 not self._is_usable(peer, now),
                 0 if upstream_row is None else upstream_row.born, now))
         if upstream_row is not None:
@@ -278,19 +283,25 @@
         self.update_load(peer)
 
     def _choose(self) -> None:
-        """Connects to the chosen nodes of each service, and to no others."""
-        candidates_by_service: dict[str, list[subset.Candidate]] = {}
+        """Connects to the chosen nodes of each service, and to no others.
+
+        They are chosen by region, as requests may have to stay in one.
+        """
+        candidates_by_group: dict[tuple[str, str], list[subset.Candidate]] = {}
         for peer in self.by_instance.values():
             upstream_row = peer.row.upstream
             if (upstream_row is None or not upstream_row.usable or
                     peer.row.leaving):
                 continue
-            candidates_by_service.setdefault(upstream_row.service, []).append(
-                subset.Candidate(peer.row.instance,
-                                 peer.row.failure_domain == self._own_domain,
-                                 peer.reachable, peer.weight))
+            region = self._region_by_domain.get(peer.row.failure_domain, "")
+            candidates_by_group.setdefault(
+                (upstream_row.service, region), []).append(
+                    subset.Candidate(
+                        peer.row.instance,
+                        peer.row.failure_domain == self._own_domain,
+                        peer.reachable, peer.weight))
         chosen: set[str] = set()
-        for candidates in candidates_by_service.values():
+        for candidates in candidates_by_group.values():
             chosen |= subset.choose(candidates)
         for peer in self.by_instance.values():
             if peer.row.instance in chosen:
--- a/src/apricothinge/mesh/state.py
+++ b/src/apricothinge/mesh/state.py
@@ -1,10 +1,12 @@
 """State of a mesh node that its components share."""
 
 import asyncio
+from collections.abc import Callable
 
 from apricothinge import log
 from apricothinge import metrics
 from apricothinge.mesh import documents
+from apricothinge.mesh import evacuations
 from apricothinge.mesh import names
 from apricothinge.mesh import tokens
 from apricothinge.overload import crashes
@@ -26,15 +28,20 @@
         draining: Whether the node is shutting down.
         closed: Whether new requests from this machine are refused.
         report_due: Set when there is something to report to control.
+        evacuations: Failure domains that operators have emptied.
+        on_evacuations: Called when these have changed.
         metrics: Metrics of the node.
     """
 
     __slots__ = ("names", "compiled", "token_pool", "crash_table", "running",
-                 "draining", "closed", "report_due", "metrics",
-                 "_configured_service", "_announced_service")
+                 "draining", "closed", "report_due", "metrics", "evacuations",
+                 "on_evacuations", "_configured_service", "_announced_service")
 
-    def __init__(self, header_names: names.HeaderNames, service: str) -> None:
+    def __init__(self, header_names: names.HeaderNames, service: str,
+                 node_evacuations: evacuations.Evacuations) -> None:
         self.names = header_names
+        self.evacuations = node_evacuations
+        self.on_evacuations: Callable[[], None] = _ignore_change
         self.compiled: documents.CompiledDocument | None = None
         self.token_pool = tokens.TokenPool(asyncio.get_running_loop().time())
         self.crash_table = crashes.CrashTable(_CRASH_LIMIT)
@@ -60,6 +67,15 @@
         """Revision of the desired state in force, -1 for none."""
         return -1 if self.compiled is None else self.compiled.revision
 
+    def evacuate(self, revision: int, age_by_domain: dict[str, float]) -> None:
+        """Takes over which failure domains are evacuated, if that is newer."""
+        now = asyncio.get_running_loop().time()
+        if self.evacuations.update(now, revision, age_by_domain):
+            log.event("evacuation:in_force",
+                      revision=revision,
+                      domains=self.evacuations.domains())
+            self.on_evacuations()
+
     def install(self, compiled: documents.CompiledDocument) -> bool:
         """Puts a desired state in force; returns False if it is not newer."""
         if compiled.revision <= self.revision:
@@ -70,3 +86,7 @@
                   version=compiled.document.version,
                   routes=len(compiled.document.routes))
         return True
+
+
+def _ignore_change() -> None:
+    """Default of `NodeState.on_evacuations`."""
--- a/src/apricothinge/mesh/state_exchange.py
+++ b/src/apricothinge/mesh/state_exchange.py
@@ -1,6 +1,7 @@
 """Exchange of the desired state between nodes that cannot reach control."""
 
 import asyncio
+import math
 import random
 from typing import Final
 
@@ -67,7 +68,9 @@
         return frames.StateOffer(compiled.revision,
                                  documents.pack(compiled.document),
                                  rows + [self._row_builder.build()],
-                                 self._state.token_pool.nodes)
+                                 self._state.token_pool.nodes,
+                                 self._state.evacuations.revision,
+                                 self._state.evacuations.domains())
 
     def accept(self, offer: frames.StateOffer) -> None:
         """Goes by the state of another node until control is reached."""
@@ -76,6 +79,8 @@
                                            documents.unpack(offer.document))):
             return
         log.event("state:from_node", revision=offer.revision)
+        self._state.evacuate(offer.evacuation_revision,
+                             dict.fromkeys(offer.evacuated, math.inf))
         self._state.token_pool.nodes = offer.node_count
         for row in offer.rows:
             self._peer_table.update_row(row)
--- a/src/apricothinge/mesh/upstream.py
+++ b/src/apricothinge/mesh/upstream.py
@@ -13,6 +13,7 @@
 from apricothinge.mesh import announcements
 from apricothinge.mesh import costs
 from apricothinge.mesh import names
+from apricothinge.overload import cold_start
 from apricothinge.overload import crashes
 from apricothinge.overload import load_feedback
 from apricothinge.web import client
@@ -63,15 +64,20 @@
         call: Head of the request, as built by the entry node.
         body: Content of the request.
         deadline: Loop time in seconds.
+        homes: Regions that the request has to stay in, or None for any.
     """
 
-    __slots__ = ("call", "body", "deadline")
+    __slots__ = ("call", "body", "deadline", "homes")
 
-    def __init__(self, call: frames.Call, body: messages.Body,
-                 deadline: float) -> None:
+    def __init__(self,
+                 call: frames.Call,
+                 body: messages.Body,
+                 deadline: float,
+                 homes: frozenset[str] | None = None) -> None:
         self.call = call
         self.body = body
         self.deadline = deadline
+        self.homes = homes
 
 
 class LocalUpstream:
@@ -85,9 +91,9 @@
 
     __slots__ = ("on_change", "in_flight", "_address", "_names", "_pool",
                  "_loop", "_queue", "_check_in", "_usable", "_deregistered_ids",
-                 "_probe_task", "_crash_table", "_metrics", "_warm_at",
-                 "_incarnation", "_crash_count", "_local_costs",
-                 "_load_feedback", "_announcements")
+                 "_probe_task", "_crash_table", "_metrics", "_incarnation",
+                 "_crash_count", "_local_costs", "_load_feedback",
+                 "_announcements", "_evacuated")
 
     def __init__(self, address: settings.Address,
                  header_names: names.HeaderNames, pool: client.ConnectionPool,
@@ -101,14 +107,14 @@
         self._crash_table = crash_table
         self._metrics = node_metrics
         self._local_costs = local_costs
-        self._queue = admission_queue.AdmissionQueue()
+        self._queue = admission_queue.AdmissionQueue(self._loop.time())
         self._load_feedback = load_feedback.LoadFeedback(self._loop.time())
         self._check_in: CheckIn | None = None
         self._usable = False
         self._deregistered_ids: collections.deque[str] = collections.deque(
             maxlen=64)
         self._probe_task: asyncio.Task[None] | None = None
-        self._warm_at = 0.0
+        self._evacuated = False
         self._incarnation = incarnation
         self._crash_count = 0
         self._announcements = announcements.Announcements(
@@ -126,7 +132,7 @@
         latest = self._check_in
         if latest is None:
             return None
-        cold_s = max(0.0, self._warm_at - self._loop.time())
+        cold_s = self._queue.cold_limiter.remaining_s(self._loop.time())
         return frames.UpstreamRow(
             latest.upstream_id,
             latest.born, latest.service, latest.slots, self._usable,
@@ -137,7 +143,7 @@
         """Returns the current load."""
         queue = self._queue
         return frames.Load(queue.running, queue.queued,
-                           max(1, round(queue.capacity)),
+                           max(1, round(queue.capacity(self._loop.time()))),
                            round(self._load_feedback.capacity_ratio, 3))
 
     # Check-ins.
@@ -161,8 +167,8 @@
         self._check_in = check_in
         self._local_costs.service = check_in.service
         self._queue.slots = check_in.slots
-        self._warm_at = self._loop.time() + check_in.cold_s
-        usable = not check_in.draining and not self._announcements.leaving
+        self._apply_warm_up(check_in)
+        usable = self._accepts_requests()
         if usable and not self._usable and self._probe_task is not None:
             # The probe decides when the upstream accepts connections again.
             return
@@ -177,10 +183,58 @@
         if self._probe_task is not None:
             self._probe_task.cancel()
             self._probe_task = None
+        self._queue.cold_limiter.start_lifetime()
         self._announcements.start_lifetime(self._loop.time(),
                                            check_in.upstream_id, check_in.born)
         self._pool.close_idle(self._address)
 
+    def _apply_warm_up(self, check_in: CheckIn) -> None:
+        """Applies the warm-up time that a check-in reports."""
+        now = self._loop.time()
+        before_s = self._queue.cold_limiter.remaining_s(now)
+        self._queue.cold_limiter.set_cold(now, check_in.cold_s)
+        if check_in.cold_s > 0.0 and not before_s:
+            self._log_warm_up("check_in")
+
+    def _assume_cold(self, reason: str) -> None:
+        """Paces an upstream that has said nothing since it came back."""
+        self._queue.cold_limiter.assume_cold(self._loop.time())
+        self._log_warm_up(reason)
+
+    def _log_warm_up(self, reason: str) -> None:
+        now = self._loop.time()
+        latest = self._check_in
+        log.event("upstream:warm_up",
+                  upstream="" if latest is None else latest.upstream_id,
+                  why=reason,
+                  cold_s=round(self._queue.cold_limiter.remaining_s(now), 2),
+                  rate=self._queue.cold_limiter.rate(now))
+
+    def limit_cold_start(self, limit: cold_start.ColdStartLimit) -> None:
+        """Sets what the upstream takes while it is cold."""
+        self._queue.cold_limiter.configure(self._loop.time(), limit)
+
+    def set_evacuated(self, evacuated: bool) -> None:
+        """Stops new requests to the upstream, or permits them again."""
+        if evacuated == self._evacuated:
+            return
+        self._evacuated = evacuated
+        if not evacuated:
+            # Caches of the upstream may have been lost meanwhile.
+            self._assume_cold("evacuation_ended")
+        if self._check_in is None:
+            return
+        if evacuated:
+            self._set_usable(False, "evacuated")
+        elif self._probe_task is None:
+            self._set_usable(self._accepts_requests(), "evacuation_ended")
+
+    def _accepts_requests(self) -> bool:
+        """Returns whether the upstream takes requests if it listens."""
+        latest = self._check_in
+        return (latest is not None and not latest.draining and
+                not self._announcements.leaving and not self._evacuated)
+
     def recall(self, row: frames.UpstreamRow) -> None:
         """Takes over what an earlier process of this node has published."""
         latest = self._check_in
@@ -234,8 +288,8 @@
             if await self._pool.probe(self._address):
                 break
         self._probe_task = None
-        if (self._check_in is not None and not self._check_in.draining and
-                not self._announcements.leaving):
+        self._assume_cold("listens")
+        if self._accepts_requests():
             self._set_usable(True, "listens")
 
     # Requests.
@@ -346,8 +400,9 @@
                 errors.Kind.OVERLOADED
                 if self._usable else errors.Kind.NO_UPSTREAM,
                 # An empty queue does not mean that there is room.
-                retry_after_s=max(self._queue.hold_s,
-                                  self._queue.expected_wait_s(rank)))
+                retry_after_s=max(
+                    self._queue.hold_s,
+                    self._queue.expected_wait_s(self._loop.time(), rank)))
 
     def _release(self, started_at: float) -> None:
         self._queue.release(self._loop.time() - started_at)
@@ -372,8 +427,9 @@
                 entries currently admit.
         """
         queue = self._queue
-        self._load_feedback.tick(self._loop.time(), queue.queued,
-                                 queue.capacity if self._usable else 0.0,
+        now = self._loop.time()
+        self._load_feedback.tick(now, queue.queued,
+                                 queue.capacity(now) if self._usable else 0.0,
                                  admitted_fraction)
 
     def _headers(self, upstream_request: UpstreamRequest,
--- a/src/apricothinge/metrics.py
+++ b/src/apricothinge/metrics.py
@@ -37,9 +37,9 @@
     """Metrics of a node."""
 
     __slots__ = ("registry", "calls", "refusals", "call_seconds", "queue_delay",
-                 "limit", "upstream_rate_limit", "in_flight", "queued",
-                 "retries", "tokens", "revision", "revision_age", "connections",
-                 "peers", "loop_lag", "lines_omitted")
+                 "limit", "upstream_rate_limit", "upstream_cold", "in_flight",
+                 "queued", "retries", "tokens", "revision", "revision_age",
+                 "connections", "peers", "loop_lag", "lines_omitted")
 
     def __init__(self) -> None:
         self.registry = prometheus_client.CollectorRegistry()
@@ -73,6 +73,8 @@
         self.upstream_rate_limit = self._gauge(
             "upstream_rate_limit",
             "Requests per second that the upstream takes; 0 for no limit.")
+        self.upstream_cold = self._gauge(
+            "upstream_cold_seconds", "Remaining warm-up time of the upstream.")
         self.in_flight = self._gauge("in_flight",
                                      "Calls in flight at the upstream.")
         self.queued = self._gauge("queued", "Calls queued for admission.")
@@ -112,7 +114,7 @@
 
     __slots__ = ("registry", "term", "is_leader", "commit", "apply_lag",
                  "snapshot", "quorum_age", "members", "live_voters", "nodes",
-                 "claims", "changes")
+                 "claims", "changes", "evacuated_domains")
 
     def __init__(self) -> None:
         self.registry = prometheus_client.CollectorRegistry()
@@ -132,6 +134,8 @@
             "live_voters", "Voting members heard of lately, on the leader.")
         self.nodes = self._gauge("attached_nodes",
                                  "Nodes attached to this instance.")
+        self.evacuated_domains = self._gauge("evacuated_domains",
+                                             "Evacuated failure domains.")
         self.claims = self._gauge("claims", "Stored idempotency key claims.")
         self.changes = prometheus_client.Counter(
             "apricothinge_control_changes",
--- a/src/apricothinge/overload/load_feedback.py
+++ b/src/apricothinge/overload/load_feedback.py
@@ -24,6 +24,9 @@
 _REFUSED_CALL_WEIGHT: Final = 1.0 / 3.0
 # Some requests must be admitted to detect that capacity is available again.
 _MIN_CAPACITY_RATIO: Final = 0.1
+# Slots that change by more than this factor are those of an upstream that turns
+# cold or warm, or that names a rate.
+_SUDDEN_CHANGE: Final = 2.0
 # An instance with spare capacity compensates for full ones, up to this multiple
 # of its share; load balancing directs the calls to it.
 _MAX_CAPACITY_RATIO: Final = 2.0
@@ -43,7 +46,7 @@
     """
 
     __slots__ = ("capacity_ratio", "_work_rate", "_arrived_work_s",
-                 "_ticked_at", "_history")
+                 "_ticked_at", "_history", "_slots", "_available_ratio")
 
     def __init__(self, now: float) -> None:
         self.capacity_ratio = _MAX_CAPACITY_RATIO
@@ -52,6 +55,9 @@
         self._ticked_at = now
         self._history: collections.deque[tuple[float,
                                                float]] = collections.deque()
+        # While it was last available: its slots and the ratio.
+        self._slots = 0.0
+        self._available_ratio = _MAX_CAPACITY_RATIO
 
     def record_arrival(self, hold_s: float) -> None:
         """Counts a call that is expected to hold a slot for `hold_s`."""
@@ -85,6 +91,16 @@
             self.capacity_ratio = _MAX_CAPACITY_RATIO
             self._history.clear()
             return
+        if self._slots and not (1.0 / _SUDDEN_CHANGE < slots / self._slots <
+                                _SUDDEN_CHANGE):
+            # The demand is the same, so the ratio changes with the slots. The
+            # average would follow too late to keep a cold upstream from being
+            # overrun.
+            self.capacity_ratio = min(
+                _MAX_CAPACITY_RATIO,
+                max(_MIN_CAPACITY_RATIO,
+                    self._available_ratio * slots / self._slots))
+        self._slots = slots
         target_utilisation = (_BACKLOG_UTILISATION
                               if queued > _LONG_QUEUE_RATIO *
                               slots else _TARGET_UTILISATION)
@@ -94,6 +110,7 @@
         target_ratio = min(_MAX_CAPACITY_RATIO,
                            max(_MIN_CAPACITY_RATIO, target_ratio))
         self.capacity_ratio += _GAIN * (target_ratio - self.capacity_ratio)
+        self._available_ratio = self.capacity_ratio
         self._history.append((now, admitted_fraction))
 
     def _past_admitted_fraction(self, now: float) -> float:
--- a/src/apricothinge/overload/routing.py
+++ b/src/apricothinge/overload/routing.py
@@ -116,15 +116,17 @@
     Attributes:
         by_instance: All known upstream instances.
         nodes_by_instance: All known nodes, including those without an upstream.
+        evacuated_domains: Failure domains whose instances get no calls.
     """
 
-    __slots__ = ("by_instance", "nodes_by_instance", "_by_service",
-                 "_failure_domain", "_region", "_rng")
+    __slots__ = ("by_instance", "nodes_by_instance", "evacuated_domains",
+                 "_by_service", "_failure_domain", "_region", "_rng")
 
     def __init__(self, failure_domain: str, region: str,
                  rng: random.Random) -> None:
         self.by_instance: dict[str, Upstream] = {}
         self.nodes_by_instance: dict[str, Upstream] = {}
+        self.evacuated_domains: frozenset[str] = frozenset()
         self._by_service: dict[str, list[Upstream]] = {}
         self._failure_domain = failure_domain
         self._region = region
@@ -173,7 +175,8 @@
         """Returns the fraction of its demand a service can take, 0 to 1."""
         accepting = [
             upstream for upstream in self._by_service.get(service, ())
-            if not upstream.draining and upstream.slots
+            if not upstream.draining and upstream.slots and
+            upstream.failure_domain not in self.evacuated_domains
         ]
         slots = sum(upstream.slots for upstream in accepting)
         if not slots:
@@ -194,14 +197,18 @@
         """Returns whether the service has or had an instance."""
         return service in self._by_service
 
-    def pick(self, now: float, service: str,
-             tried: set[str]) -> Upstream | None:
+    def pick(self,
+             now: float,
+             service: str,
+             tried: set[str],
+             homes: frozenset[str] | None = None) -> Upstream | None:
         """Picks the less loaded of two random instances, nearest ones first.
 
         Args:
             now: Current time in seconds.
             service: The service to call.
             tried: Instances that the call was already sent to.
+            homes: Regions that the call has to stay in, or None for any.
 
         Returns:
             An instance, or None if none can take the call.
@@ -210,6 +217,15 @@
             upstream for upstream in self._by_service.get(service, ())
             if not upstream.draining and upstream.instance not in tried
         ]
+        if self.evacuated_domains:
+            candidates = [
+                upstream for upstream in candidates
+                if upstream.failure_domain not in self.evacuated_domains
+            ]
+        if homes is not None:
+            candidates = [
+                upstream for upstream in candidates if upstream.region in homes
+            ]
         if not candidates:
             return None
         healthy = [
--- a/src/apricothinge/platform/handlers.py
+++ b/src/apricothinge/platform/handlers.py
@@ -16,6 +16,9 @@
 _MAX_CHECK_IN_BYTES: Final = 1 << 16
 _MAX_STATE_BYTES: Final = 64 << 20
 
+_EVACUATION_PATH_PREFIXES: Final = (wire.EVACUATION_START_PATH_PREFIX,
+                                    wire.EVACUATION_END_PATH_PREFIX)
+
 _STATUS_BY_KIND: Final = {
     errors.Kind.VERSION_CONFLICT: 412,
     errors.Kind.CONFIGURATION_INVALID: 400,
@@ -68,7 +71,7 @@
 
 
 class OperatorHandler(server.Handler):
-    """Handles the operator API, which replaces and reads the desired state.
+    """Handles the operator API: the desired state, and evacuations.
 
     Instances that do not lead redirect the caller to the leader.
     """
@@ -89,6 +92,9 @@
         try:
             if request.path == wire.REPLACE_PATH and request.method == "POST":
                 return await self._replace(request)
+            if request.method == "POST" and request.path.startswith(
+                    _EVACUATION_PATH_PREFIXES):
+                return await self._evacuate(request)
             if request.path == wire.READ_PATH and request.method == "GET":
                 return _json_response(await self._control.read())
         except errors.ApricothingeError as error:
@@ -113,6 +119,13 @@
                                     change.document, content)
         return _json_response()
 
+    async def _evacuate(self, request: messages.Request) -> messages.Response:
+        await request.body.buffer(_MAX_CHECK_IN_BYTES)
+        prefix, _, domain = request.path.rpartition("/")
+        await self._control.evacuate(
+            domain, prefix + "/" == wire.EVACUATION_START_PATH_PREFIX)
+        return _json_response()
+
     def _redirect_to_leader(self,
                             request: messages.Request) -> messages.Response:
         """Redirects to the same target on the leader; 307 keeps the method."""
--- a/src/apricothinge/platform/wire.py
+++ b/src/apricothinge/platform/wire.py
@@ -16,8 +16,9 @@
 
 __all__ = [
     "BASE_VERSION_HEADER", "CHECK_IN_PATH_PREFIX", "Change",
-    "DEREGISTER_PATH_PREFIX", "HEADER_NAMES", "READINESS_PATH", "READ_PATH",
-    "REPLACE_PATH", "SETTINGS_PATH_VARIABLE", "decode_change",
+    "DEREGISTER_PATH_PREFIX", "EVACUATION_END_PATH_PREFIX",
+    "EVACUATION_START_PATH_PREFIX", "HEADER_NAMES", "READINESS_PATH",
+    "READ_PATH", "REPLACE_PATH", "SETTINGS_PATH_VARIABLE", "decode_change",
     "decode_check_in", "decode_deregistration"
 ]
 
@@ -27,6 +28,8 @@
 READ_PATH: Final = "/v1/Config.Get"
 CHECK_IN_PATH_PREFIX: Final = "/v1/Instances.Heartbeat/"
 DEREGISTER_PATH_PREFIX: Final = "/v1/Instances.Deregister/"
+EVACUATION_START_PATH_PREFIX: Final = "/v1/Evacuations.Start/"
+EVACUATION_END_PATH_PREFIX: Final = "/v1/Evacuations.Finish/"
 BASE_VERSION_HEADER: Final = b"base-version"
 
 HEADER_NAMES: Final = names.HeaderNames(request_id=b"attempt-id",
@@ -131,13 +134,22 @@
     allow_anonymous: bool = False
     service: str | None = None
     weighted_split: list[_WeightedService] | None = None
+    allowed_regions: list[str] | None = None
 
 
 class _Service(msgspec.Struct, rename="camel"):
-    """A service; `max_conns` limits the connections to each upstream."""
+    """A service and the limits of its upstreams.
+
+    Attributes:
+        max_conns: Maximum number of connections to each upstream.
+        cold_start_s: Seconds that an upstream is cold after its start.
+        cold_per_s: Requests per second that it takes meanwhile; 0 for no limit.
+    """
 
     name: str
     max_conns: int = 0
+    cold_start_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    cold_per_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
 
 
 class _Tenant(msgspec.Struct, rename="camel"):
@@ -148,6 +160,7 @@
     priority: int = 0
     rate_per_s: float = 0.0
     burst: float = 0.0
+    allowed_regions: list[str] | None = None
 
 
 class _Limits(msgspec.Struct, rename="camel"):
@@ -236,7 +249,8 @@
                    if row.slo_latency_s is None else row.slo_latency_s)
     return documents.Route(row.name, row.hostname, row.path_prefix, kind,
                            row.timeout_s, objective_s, row.priority,
-                           row.max_attempts, row.allow_anonymous, parts)
+                           row.max_attempts, row.allow_anonymous, parts,
+                           row.allowed_regions or None)
 
 
 def _check_unique(document: documents.Document) -> None:
@@ -285,10 +299,13 @@
         _parse_version(state.version, "version"), [
             _to_route(index, row, service_names)
             for index, row in enumerate(routes)
-        ], [documents.Service(row.name, row.max_conns) for row in services],
-        None if tenants is None else [
-            documents.Organisation(row.name, row.api_keys, row.priority,
-                                   row.rate_per_s, row.burst) for row in tenants
+        ], [
+            documents.Service(row.name, row.max_conns, row.cold_start_s,
+                              row.cold_per_s) for row in services
+        ], None if tenants is None else [
+            documents.Organisation(
+                row.name, row.api_keys, row.priority, row.rate_per_s, row.burst,
+                row.allowed_regions or None) for row in tenants
         ],
         documents.ClientLimits(state.limits.max_header_bytes,
                                state.limits.max_body_bytes,
--- a/src/apricothinge/settings.py
+++ b/src/apricothinge/settings.py
@@ -116,6 +116,13 @@
         seeds: "IP:port" of the operator API of some control instances.
         control_link_port: Link port, the same on every control instance.
         grace_s: Seconds between the stop signal and the end of the process.
+        region_by_domain: Region of each failure domain. Domains that are not
+            listed are in one region without a name.
+        cold_rate_factor: A cold upstream may get this many times the requests
+            per second that its service states.
+        cold_extra_requests: Requests in any second that it may get beyond that.
+        evacuation_s: Seconds in which an evacuated failure domain has to be
+            empty of new requests.
     """
 
     instance: str
@@ -131,6 +138,10 @@
     control_link_port: _Port
     grace_s: _PositiveFloat = 5.0
     limits: Limits = msgspec.field(default_factory=Limits)
+    region_by_domain: dict[str, str] = {}
+    cold_rate_factor: Annotated[float, msgspec.Meta(ge=1)] = 1.0
+    cold_extra_requests: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    evacuation_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
 
     def control_links(self) -> list[str]:
         """Returns the link addresses of the seeds."""
@@ -151,6 +162,7 @@
         control_link_port: As in MeshNode.
         bootstrap: Whether the whole mesh is started for the first time.
         snapshot_entries: Number of log entries after which a snapshot is taken.
+        failure_domains: Those that can be evacuated; empty if not known.
     """
 
     instance: str
@@ -163,6 +175,7 @@
     control_link_port: _Port
     bootstrap: bool = False
     snapshot_entries: Annotated[int, msgspec.Meta(ge=10)] = 200
+    failure_domains: list[str] = []
 
     def control_links(self) -> list[str]:
         """Returns the link addresses of the seeds."""
--- a/tests/mesh_builders.py
+++ b/tests/mesh_builders.py
@@ -46,23 +46,33 @@
                                   **overrides)
 
 
-def document(version=1, routes=None, organisations=None, **limits):
+def document(version=1,
+             routes=None,
+             organisations=None,
+             warm_up_s=0.0,
+             cold_rate_per_s=0.0,
+             **limits):
     """Builds a desired state, which needs no keys without organisations.
 
     Args:
         version: Its version.
         routes: Its routes, by default one.
         organisations: Its organisations, or None.
+        warm_up_s: For how long upstreams are cold after a start.
+        cold_rate_per_s: Requests per second that they take meanwhile.
         **limits: Limits on callers that differ from the defaults.
     """
     routes = routes or [route()]
     names = {part.service for row in routes for part in row.parts}
-    return documents.Document(
-        version=version,
-        routes=routes,
-        services=[documents.Service(name, 100) for name in sorted(names)],
-        organisations=organisations,
-        limits=documents.ClientLimits(**limits))
+    return documents.Document(version=version,
+                              routes=routes,
+                              services=[
+                                  documents.Service(name, 100, warm_up_s,
+                                                    cold_rate_per_s)
+                                  for name in sorted(names)
+                              ],
+                              organisations=organisations,
+                              limits=documents.ClientLimits(**limits))
 
 
 def check_in(upstream_id="u1", born=1000, sequence=1, **overrides):
--- a/tests/mesh_fleet.py
+++ b/tests/mesh_fleet.py
@@ -116,8 +116,14 @@
         self._revision = 0
         self._settings = None
 
-    async def start(self, services=("s", "s"), document=None):
-        """Starts everything and waits until the nodes can call each other."""
+    async def start(self, services=("s", "s"), document=None, **node_settings):
+        """Starts everything and waits until the nodes can call each other.
+
+        Args:
+            services: Service of each node; their failure domains alternate.
+            document: The desired state; a default one if None.
+            **node_settings: Settings of the nodes that are not defaults.
+        """
         asyncio.get_running_loop().set_debug(False)
         port = free_port()
         self._settings = settings.MeshControl(instance="c0",
@@ -131,7 +137,7 @@
                                               bootstrap=True)
         await self.start_control()
         for index, service in enumerate(services):
-            await self._start_node(index, service, port)
+            await self._start_node(index, service, port, node_settings)
         await self.apply(document or mesh_builders.document())
         await self.wait_until(
             lambda: all(mesh_node.ready for mesh_node in self.nodes))
@@ -157,7 +163,7 @@
         await self.control.start()
         await self.wait_until(lambda: self.control.group_member.is_leader)
 
-    async def _start_node(self, index, service, control_port):
+    async def _start_node(self, index, service, control_port, node_settings):
         upstream = HandlerUpstream()
         await upstream.start()
         mesh_node = node.MeshNode(
@@ -172,7 +178,8 @@
                               admin="127.0.0.1:0",
                               seeds=["127.0.0.1:1"],
                               control_link_port=control_port,
-                              grace_s=1.0), NAMES, random.Random(index))
+                              grace_s=1.0,
+                              **node_settings), NAMES, random.Random(index))
         await mesh_node.start()
         mesh_node.upstream.check_in(
             mesh_builders.check_in(f"u{index}", service=service))
--- a/tests/test_mesh_decisions.py
+++ b/tests/test_mesh_decisions.py
@@ -116,17 +116,17 @@
         for ticket in tickets:
             self.assertEqual(admission_queue.Verdict.WAIT,
                              queue.offer(0.0, ticket))
-        self.assertAlmostEqual(0.4, queue.expected_wait_s(9))
-        self.assertAlmostEqual(0.2, queue.expected_wait_s(1))
+        self.assertAlmostEqual(0.4, queue.expected_wait_s(0.0, 9))
+        self.assertAlmostEqual(0.2, queue.expected_wait_s(0.0, 1))
         with self.assertRaises(admission_queue.Refused):
             queue.offer(0.0, admission_queue.Ticket(9, 0.3, 0.0))
         order = []
         for tick in range(1, 17):
             order += queue.admit_waiting(tick * 0.02)
         self.assertEqual([tickets[1], tickets[2], tickets[0]], order)
-        self.assertAlmostEqual(10.0 * queue.hold_s, queue.capacity)
+        self.assertAlmostEqual(10.0 * queue.hold_s, queue.capacity(0.0))
         queue.rate_limiter.reset()
-        self.assertEqual(queue.limit, queue.capacity)
+        self.assertEqual(queue.limit, queue.capacity(0.0))
 
     def test_expired(self):
         """An expired request is removed and does not run later."""
