Send nodes fewer loads, costs and probes

Change: a load is sent when the requests moved by a quarter of the slots (a tenth before), a capacity ratio above 1 when it moved by a half, as it does not bind; costs are sent every four seconds after the first eight; a link is probed as active for two seconds after its last call (three before).

--- a/src/apricothinge/link/connection.py
+++ b/src/apricothinge/link/connection.py
@@ -27,7 +27,7 @@
 # In a large fleet most links are idle at any time. Probing them at the rate of
 # active links would cost a node with 91 peers 600 messages per second.
 _IDLE_PROBE_AFTER_S: Final = 2.0
-_ACTIVE_FOR_S: Final = 3.0
+_ACTIVE_FOR_S: Final = 2.0
 # Sent by both ends regardless of calls, so they do not make a link active.
 _BACKGROUND_MESSAGES: Final = (frames.Ping, frames.Pong, frames.Status,
                                frames.Costs)
--- a/src/apricothinge/mesh/costs.py
+++ b/src/apricothinge/mesh/costs.py
@@ -9,6 +9,9 @@
 
 # Relative differences up to this are noise between one second and the next.
 _TOLERANCE: Final = 0.25
+# Each publication goes to all nodes with a link. First estimates change soon.
+_MIN_PUBLISH_INTERVAL_S: Final = 4.0
+_EARLY_PUBLICATIONS: Final = 8
 _HOLD_TIME_GAIN: Final = 0.05
 _MAX_ROUTES: Final = 64
 _ROUTE_EXPIRY_S: Final = 30.0
@@ -59,13 +62,15 @@
     """
 
     __slots__ = ("_cost_table", "_counts", "_hold_time_by_route", "_published",
-                 "service")
+                 "_published_at", "_publications", "service")
 
     def __init__(self, cost_table: CostTable, now: float) -> None:
         self._cost_table = cost_table
         self._counts = callgraph.CallCountEstimator(now)
         self._hold_time_by_route: dict[str, _HoldTime] = {}
         self._published: dict[str, callgraph.Costs] = {}
+        self._published_at = now
+        self._publications = 0
         self.service = ""
 
     def record_start(self, route: str) -> None:
@@ -104,6 +109,10 @@
         for route, found in list(self._hold_time_by_route.items()):
             if now - found.last_run_at > _ROUTE_EXPIRY_S:
                 del self._hold_time_by_route[route]
+        if (self._publications >= _EARLY_PUBLICATIONS and
+                now - self._published_at < _MIN_PUBLISH_INTERVAL_S and
+                self._hold_time_by_route.keys() == self._published.keys()):
+            return False
         calls_by_route = self._counts.calls_per_run()
         costs_by_route = {
             route:
@@ -123,5 +132,7 @@
                 service: round(cost_s, 4) for service, cost_s in costs.items()
             } for route, costs in costs_by_route.items()
         }
+        self._published_at = now
+        self._publications += 1
         self._cost_table.put(self.message())
         return True
--- a/src/apricothinge/mesh/node.py
+++ b/src/apricothinge/mesh/node.py
@@ -39,10 +39,13 @@
 # A changed load is sent to the other nodes at most this often.
 _STATUS_INTERVAL_TICKS: Final = 2
 _STATE_REQUEST_INTERVAL_TICKS: Final = 5
-# Smaller changes, of the requests relative to the slots or of the capacity
-# ratio, are not sent: nodes that make calls receive the load with each
-# response.
-_LOAD_CHANGE_THRESHOLD: Final = 0.1
+# Smaller changes of the requests relative to the slots are not sent: nodes that
+# make calls receive the load with each response.
+_LOAD_CHANGE_THRESHOLD: Final = 0.25
+# Changes of the capacity ratio that are sent, where it is limited and where the
+# upstream has spare capacity.
+_RATIO_CHANGE_THRESHOLD: Final = 0.1
+_SPARE_RATIO_CHANGE_THRESHOLD: Final = 0.5
 # Callers notice in the third second that the node is not ready. Requests that
 # arrive later could not be answered before the process ends, so they are
 # refused as not run.
@@ -321,8 +324,10 @@
             return True
         change = abs(load.running + load.queued - sent_load.running -
                      sent_load.queued)
+        ratio_threshold = (_RATIO_CHANGE_THRESHOLD if min(
+            load.part, sent_load.part) < 1.0 else _SPARE_RATIO_CHANGE_THRESHOLD)
         return (change > _LOAD_CHANGE_THRESHOLD * load.slots or
-                abs(load.part - sent_load.part) > _LOAD_CHANGE_THRESHOLD)
+                abs(load.part - sent_load.part) > ratio_threshold)
 
     def _update_local_load(self) -> None:
         target = self._router.by_instance.get(self._settings.instance)
