Lend rate limit tokens between nodes while control gives none

Cause: a node that ran out of tokens refused requests inside the rate while control had no leader, though others held tokens; of a small rate over many nodes, all free tokens were at the leader.

A lent token counts as spent at the lender from the end of its validity on, and the borrower keeps no account of it, so restarts, freezes and elections cannot make it count twice. The leader keeps 15% of a small rate at one node in each failure domain.

Also mended: a token of the share that each node has without a server was refunded into the account of held tokens.

--- a/src/apricothinge/link/frames.py
+++ b/src/apricothinge/link/frames.py
@@ -14,7 +14,8 @@
     "Abort", "Attach", "Call", "Cancel", "Costs", "Credit", "Data", "Frame",
     "Hello", "Join", "Joined", "Load", "NodeRow", "Ping", "Pong", "Redirect",
     "Refusal", "Report", "ResponseHead", "Status", "Step", "StepReply",
-    "TokenGrant", "TokenRequest", "Update", "UpstreamRow", "decode", "encode"
+    "TokenGrant", "TokenLoan", "TokenLoanRequest", "TokenRequest", "Update",
+    "UpstreamRow", "decode", "encode"
 ]
 
 _LENGTH: Final = struct.Struct(">I")
@@ -389,6 +390,28 @@
     members: list[str]
 
 
+class TokenLoanRequest(_Message, tag=25):
+    """Asks a node for tokens, as there are none to get from control.
+
+    Attributes:
+        name: Name of the organisation.
+        count: Number of tokens.
+    """
+
+    name: str
+    count: int
+
+
+class TokenLoan(_Message, tag=26):
+    """Answers a TokenLoanRequest; the fields are as there, 0 refuses it.
+
+    The tokens are valid for `rates.loans.LOAN_VALID_S` after the request.
+    """
+
+    name: str
+    count: int
+
+
 class StateRequest(_Message, tag=23):
     """Asks a node for the desired state, as control cannot be reached."""
 
@@ -416,7 +439,7 @@
 Frame = Union[Hello, Ping, Pong, Call, Data, Credit, Cancel, ResponseHead,
               Refusal, Abort, Status, Attach, Redirect, Report, Update, Step,
               StepReply, Join, Joined, TokenRequest, TokenGrant, Costs,
-              StateRequest, StateOffer]
+              StateRequest, StateOffer, TokenLoanRequest, TokenLoan]
 
 _ENCODER: Final = msgspec.msgpack.Encoder()
 _DECODER: Final[Any] = msgspec.msgpack.Decoder(Frame)
--- a/src/apricothinge/mesh/entry.py
+++ b/src/apricothinge/mesh/entry.py
@@ -14,6 +14,7 @@
 from apricothinge.mesh import documents
 from apricothinge.mesh import downstream
 from apricothinge.mesh import state
+from apricothinge.mesh import token_loans
 from apricothinge.mesh import upstream
 from apricothinge.overload import crashes
 from apricothinge.overload import homes
@@ -48,19 +49,23 @@
     """Checks requests of callers and the local upstream; makes their calls."""
 
     __slots__ = ("_state", "_dispatcher", "_attachment", "_loop", "_random",
-                 "_reserved_headers", "_downstream_capacity", "_local_costs")
+                 "_reserved_headers", "_downstream_capacity", "_local_costs",
+                 "_token_borrower")
 
     def __init__(self, node_state: state.NodeState,
                  dispatcher: dispatch.Dispatcher,
                  control_attachment: attachment.Attachment,
                  downstream_capacity: downstream.DownstreamCapacity,
-                 local_costs: costs.LocalCosts, rng: random.Random) -> None:
+                 local_costs: costs.LocalCosts,
+                 token_borrower: token_loans.TokenBorrower,
+                 rng: random.Random) -> None:
         self._loop = asyncio.get_running_loop()
         self._state = node_state
         self._dispatcher = dispatcher
         self._attachment = control_attachment
         self._downstream_capacity = downstream_capacity
         self._local_costs = local_costs
+        self._token_borrower = token_borrower
         self._random = rng
         self._reserved_headers = node_state.names.reserved()
 
@@ -115,7 +120,9 @@
         body.max_bytes = limit
         charged_organisation = None if route.anonymous else organisation
         if charged_organisation is not None:
-            await self._spend_token(charged_organisation)
+            refundable = await self._spend_token(charged_organisation)
+            if not refundable:
+                charged_organisation = None
         try:
             await body.buffer(_MAX_REPLAY_BYTES)
             if self._state.compiled is not compiled:
@@ -150,22 +157,30 @@
                                    retry_after_s=_NO_DOCUMENT_RETRY_S)
         return compiled
 
-    async def _spend_token(self, organisation: documents.Organisation) -> None:
+    async def _spend_token(self, organisation: documents.Organisation) -> bool:
         """Spends a token of the organisation.
 
+        Returns:
+            Whether the token is to be refunded if the request does not run.
+
         Raises:
             errors.CallError: RATE_EXCEEDED if no token is available.
         """
         now = self._loop.time()
         token_pool = self._state.token_pool
         token_pool.count_request(now, organisation)
-        if token_pool.take(now, organisation, self._attachment.has_grants):
-            return
+        if token_pool.take_held(now, organisation, self._attachment.has_grants):
+            return True
         for _ in range(_MAX_TOKEN_REQUESTS):
             if not await self._attachment.request_tokens(organisation.name):
                 break
-            if token_pool.take(self._loop.time(), organisation, True):
-                return
+            if token_pool.take_held(self._loop.time(), organisation, True):
+                return True
+        if await self._token_borrower.take(organisation.name):
+            return False
+        if (not self._attachment.has_grants and
+                token_pool.take_unrecorded(self._loop.time(), organisation)):
+            return False
         raise errors.CallError(errors.Kind.RATE_EXCEEDED,
                                organisation.name,
                                retry_after_s=_RATE_LIMIT_RETRY_S)
--- a/src/apricothinge/mesh/hub.py
+++ b/src/apricothinge/mesh/hub.py
@@ -129,7 +129,8 @@
             instance, message.revision, 0)
         self._token_server.attach(runtime.boottime_s(), instance,
                                   message.row.incarnation, message.tokens_held,
-                                  message.recent_spends, message.peers)
+                                  message.recent_spends, message.peers,
+                                  message.row.failure_domain)
         self._update_row(message.row)
         log.event("hub:attached",
                   node=instance,
--- a/src/apricothinge/mesh/node.py
+++ b/src/apricothinge/mesh/node.py
@@ -25,6 +25,7 @@
 from apricothinge.mesh import state_applier
 from apricothinge.mesh import state_exchange
 from apricothinge.mesh import streams
+from apricothinge.mesh import token_loans
 from apricothinge.mesh import upstream
 from apricothinge.overload import routing
 from apricothinge.web import admin
@@ -108,6 +109,10 @@
         if isinstance(message, frames.StateOffer):
             self._node.state_exchange.accept(message)
             return
+        if isinstance(message, frames.TokenLoanRequest):
+            link.send(
+                frames.TokenLoan(message.name, self._node.lend_tokens(message)))
+            return
         self._node.incoming_calls.message_received(link, message)
 
     def _handle_hello(self, link: connection.Link,
@@ -204,7 +209,12 @@
             entry.EntryHandler(
                 self.state, self._dispatcher, self._attachment,
                 downstream.DownstreamCapacity(self._router, self._cost_table,
-                                              rng), self._local_costs, rng),
+                                              rng), self._local_costs,
+                token_loans.TokenBorrower(node_settings.instance,
+                                          node_settings.failure_domain,
+                                          self._peer_table,
+                                          self.state.token_pool,
+                                          self.state.metrics, rng), rng),
             node_settings.limits,
             input_age_s=self._pause_clock.input_age_s)
         self._admin_server = server.Server(
@@ -254,6 +264,11 @@
                   caller=str(self.caller),
                   link=str(self.link))
 
+    def lend_tokens(self, request: frames.TokenLoanRequest) -> int:
+        """Takes tokens out of the stock of this node for another one."""
+        return self.state.token_pool.lend(self._loop.time(), request.name,
+                                          request.count)
+
     def status_message(self) -> frames.Status:
         """Returns the status that is sent to other nodes unsolicited."""
         return frames.Status(self.upstream.row(), self.state.draining,
--- a/src/apricothinge/mesh/peers.py
+++ b/src/apricothinge/mesh/peers.py
@@ -120,6 +120,9 @@
             if offer is not None:
                 link.send(offer)
             return
+        if isinstance(message, frames.TokenLoan):
+            self._peer_table.on_token_loan(self.row.instance, message)
+            return
         if isinstance(message, frames.Hello):
             if message.instance != self.row.instance:
                 # The address now belongs to another instance.
@@ -166,12 +169,14 @@
         cost_table: Costs of requests, as published by the peers.
         make_offer: Returns what to send to a node that knows no desired state,
             or None if this one knows none either.
+        on_token_loan: Called with the name of a node and its answer to a
+            request for tokens.
     """
 
     __slots__ = ("by_instance", "hello", "monitor", "cost_table", "make_offer",
-                 "_router", "_own_instance", "_own_domain", "_loop",
-                 "_chosen_at", "_choice_due", "_known_upstream_by_instance",
-                 "_region_by_domain")
+                 "on_token_loan", "_router", "_own_instance", "_own_domain",
+                 "_loop", "_chosen_at", "_choice_due",
+                 "_known_upstream_by_instance", "_region_by_domain")
 
     def __init__(self, own_instance: str, own_domain: str, hello: frames.Hello,
                  monitor: connection.KeepaliveMonitor, router: routing.Router,
@@ -190,6 +195,8 @@
         self.by_instance: dict[str, Peer] = {}
         self._known_upstream_by_instance: dict[str, frames.UpstreamRow] = {}
         self.make_offer: Callable[[], frames.StateOffer | None] = _no_offer
+        self.on_token_loan: Callable[[str, frames.TokenLoan],
+                                     None] = _ignore_loan
 
     @property
     def link_count(self) -> int:
@@ -367,6 +374,11 @@
             peer.stop()
 
 
+def _ignore_loan(instance: str, loan: frames.TokenLoan) -> None:
+    """Default of `PeerTable.on_token_loan`."""
+    del instance, loan
+
+
 def _no_offer() -> frames.StateOffer | None:
     """Default of `PeerTable.make_offer`."""
     return None
--- a/src/apricothinge/mesh/token_server.py
+++ b/src/apricothinge/mesh/token_server.py
@@ -3,6 +3,7 @@
 from typing import Final
 
 from apricothinge.mesh import tokens
+from apricothinge.rates import loans
 
 __all__ = ["TokenServer"]
 
@@ -17,6 +18,9 @@
 _MISSING_NODE_SHARES: Final = 1.25
 # Tokens are granted ahead of demand if a window has at least this many a node.
 _MIN_PREFETCH_SHARE: Final = 6.0
+# Tokens of a small rate that one node in each failure domain keeps for the
+# others, as a fraction of a window in all.
+_CUSTODIAN_FRACTION: Final = 0.15
 # Known nodes attach to a new leader within this time.
 _ATTACH_GRACE_S: Final = 0.6
 # A restarted node does not know what its previous process has spent. The server
@@ -59,15 +63,18 @@
     Attributes:
         incarnation: Incarnation of its process.
         last_heard_at: Time in seconds of its latest report.
+        failure_domain: Where it is.
         attached: Whether it is connected and can receive tokens.
         allocation_by_name: Allocations by organisation.
     """
 
-    __slots__ = ("incarnation", "last_heard_at", "attached",
+    __slots__ = ("incarnation", "last_heard_at", "failure_domain", "attached",
                  "allocation_by_name")
 
-    def __init__(self, incarnation: int, now: float) -> None:
+    def __init__(self, incarnation: int, now: float,
+                 failure_domain: str) -> None:
         self.incarnation = incarnation
+        self.failure_domain = failure_domain
         self.last_heard_at = now
         self.attached = True
         self.allocation_by_name: dict[str, _Allocation] = {}
@@ -91,7 +98,7 @@
 
     __slots__ = ("_window_by_name", "_orphaned_by_name", "_node_by_instance",
                  "_expected_instances", "_started_at", "_restarted_instances",
-                 "_changed_names")
+                 "_changed_names", "_custodians_by_name")
 
     def __init__(self, now: float) -> None:
         """Starts for a new term; `now` is from `runtime.boottime_s`."""
@@ -103,6 +110,7 @@
         self._started_at = now
         # Organisations whose tokens may have to be distributed again.
         self._changed_names: set[str] = set()
+        self._custodians_by_name: dict[str, list[str]] = {}
 
     def set_windows(self, window_by_name: dict[str, float]) -> None:
         """Sets the tokens of each organisation in a window."""
@@ -112,9 +120,14 @@
     def _mark_all_changed(self) -> None:
         self._changed_names.update(self._window_by_name)
 
-    def attach(self, now: float, instance: str, incarnation: int,
-               available: dict[str, int], recent_spends: dict[str, int],
-               peers: list[str]) -> None:
+    def attach(self,
+               now: float,
+               instance: str,
+               incarnation: int,
+               available: dict[str, int],
+               recent_spends: dict[str, int],
+               peers: list[str],
+               failure_domain: str = "") -> None:
         """Registers a node that has attached.
 
         Args:
@@ -124,11 +137,13 @@
             available: Unspent tokens of the node, by organisation.
             recent_spends: Spent tokens not yet released, by organisation.
             peers: Other nodes known to it, which may also hold tokens.
+            failure_domain: Where it is.
         """
+        self._custodians_by_name.clear()
         known = self._node_by_instance.get(instance)
         if known is not None and known.incarnation != incarnation:
             self._orphan_tokens(now, known)
-        node = _Node(incarnation, now)
+        node = _Node(incarnation, now, failure_domain)
         self._node_by_instance[instance] = node
         for name in available.keys() | recent_spends.keys():
             node.allocation_by_name[name] = _Allocation(
@@ -151,6 +166,7 @@
         if node is None:
             return
         node.attached = False
+        self._custodians_by_name.clear()
         self._mark_all_changed()
         if ended:
             self._orphan_tokens(now, node)
@@ -272,13 +288,46 @@
         changed_names, self._changed_names = self._changed_names, set()
         for name in changed_names:
             window = self._window_by_name.get(name)
-            if window is None or not self._prefetches(window):
+            if window is None:
                 continue
             free = self._free(now, name, window)
-            if free >= 1:
+            if free < 1:
+                continue
+            if self._prefetches(window):
                 self._distribute(name, free, window, nodes, granted)
+            else:
+                self._fill_custodians(name, free, window, nodes, granted)
         return granted
 
+    def _custodians(self, name: str, nodes: dict[str, _Node]) -> list[str]:
+        """Returns the custodian of an organisation in each failure domain."""
+        found = self._custodians_by_name.get(name)
+        if found is None:
+            instances_by_domain: dict[str, list[str]] = {}
+            for instance, node in nodes.items():
+                instances_by_domain.setdefault(node.failure_domain,
+                                               []).append(instance)
+            found = self._custodians_by_name[name] = [
+                loans.custodian(name, instances)
+                for instances in instances_by_domain.values()
+            ]
+        return found
+
+    def _fill_custodians(self, name: str, free: float, window: float,
+                         nodes: dict[str, _Node],
+                         granted: dict[str, dict[str, int]]) -> None:
+        """Grants tokens of a small rate to the nodes that keep them."""
+        custodians = self._custodians(name, nodes)
+        target = int(window * _CUSTODIAN_FRACTION / len(custodians))
+        for instance in custodians:
+            allocation = nodes[instance].allocation(name)
+            count = min(int(free), target - max(0, allocation.outstanding))
+            if count < max(1, target // 4):
+                continue
+            free -= count
+            allocation.outstanding += count
+            granted.setdefault(instance, {})[name] = count
+
     def _distribute(self, name: str, free: float, window: float,
                     nodes: dict[str, _Node],
                     granted: dict[str, dict[str, int]]) -> None:
--- a/src/apricothinge/mesh/tokens.py
+++ b/src/apricothinge/mesh/tokens.py
@@ -15,6 +15,7 @@
 from apricothinge import runtime
 from apricothinge.mesh import documents
 from apricothinge.rates import limiter
+from apricothinge.rates import loans
 
 __all__ = ["LEASE_S", "TokenPool", "WINDOW_S", "window_tokens"]
 
@@ -245,6 +246,13 @@
     def take(self, now: float, organisation: documents.Organisation,
              has_grants: bool) -> bool:
         """Spends a token; returns False if none is available."""
+        if self.take_held(now, organisation, has_grants):
+            return True
+        return not has_grants and self.take_unrecorded(now, organisation)
+
+    def take_held(self, now: float, organisation: documents.Organisation,
+                  has_grants: bool) -> bool:
+        """Spends a token that this node holds; `refund` returns it."""
         if organisation.rate_per_s <= 0:
             return True
         account = self._account(now, organisation.name)
@@ -255,7 +263,40 @@
             account.spent += 1
             account.recent_spends.append(now)
             return True
-        return not has_grants and account.detached_bucket.take(now)
+        return False
+
+    def take_unrecorded(self, now: float,
+                        organisation: documents.Organisation) -> bool:
+        """Spends from the share that each node has without a server.
+
+        Such a token is in no account, so `refund` must not return it.
+        """
+        return self._account(now, organisation.name).detached_bucket.take(now)
+
+    def lend(self, now: float, name: str, count: int) -> int:
+        """Gives another node tokens and returns how many.
+
+        They count as spent when their validity ends, the latest moment at which
+        the other node may spend them.
+
+        Args:
+            now: Time in seconds.
+            name: Name of the organisation.
+            count: Number of tokens that the other node asks for.
+        """
+        account = self._account_by_name.get(name)
+        if account is None or runtime.boottime_s() >= self._lease_until:
+            return 0
+        given = loans.loan_size(account.available, account.demand, count)
+        account.available -= given
+        account.spent += given
+        account.recent_spends.extend([now + loans.LOAN_VALID_S] * given)
+        return given
+
+    def demand(self, name: str) -> float:
+        """Returns the requests per second of an organisation at this node."""
+        account = self._account_by_name.get(name)
+        return 0.0 if account is None else account.demand
 
     def refund(self, organisation: documents.Organisation) -> None:
         """Returns the token of a request that did not run."""
--- a/src/apricothinge/metrics.py
+++ b/src/apricothinge/metrics.py
@@ -39,7 +39,8 @@
     __slots__ = ("registry", "calls", "refusals", "call_seconds", "queue_delay",
                  "limit", "upstream_rate_limit", "upstream_cold", "in_flight",
                  "queued", "retries", "tokens", "revision", "revision_age",
-                 "connections", "peers", "loop_lag", "lines_omitted")
+                 "connections", "peers", "loop_lag", "lines_omitted",
+                 "token_loans")
 
     def __init__(self) -> None:
         self.registry = prometheus_client.CollectorRegistry()
@@ -86,6 +87,12 @@
             "apricothinge_rate_tokens",
             "Available rate tokens by organisation.", ["organisation"],
             registry=self.registry)
+        self.token_loans = LabelledMetric(
+            prometheus_client.Counter(
+                "apricothinge_token_loans",
+                "Rounds of asking other nodes for rate tokens, by result.",
+                ["result"],
+                registry=self.registry))
         self.revision = self._gauge("revision",
                                     "Revision of the configuration in force.")
         self.revision_age = self._gauge(
