Refuse trees at the entry that would hardly be served to their end

Cause: while the upstreams of the deepest service reject 55 of 100 calls, a request that leads to eight calls there is served once in 200 times. The feedback by load does not see it, as rejections take no slots.

Change: nodes publish the fraction of requests that their upstream rejects and the calls of whole requests by service; entries admit a tree by the probability that all its calls are taken, at least 1 in 20.

--- a/src/apricothinge/link/frames.py
+++ b/src/apricothinge/link/frames.py
@@ -62,12 +62,14 @@
         queued: Number of requests queued in the node.
         slots: Number of requests that may run concurrently.
         part: Fraction of the demand on its service that fills the upstream.
+        rejected: Fraction of the requests that the upstream rejects unrun.
     """
 
     running: int
     queued: int
     slots: int
     part: float
+    rejected: float = 0.0
 
 
 class Call(_Message, tag=4):
@@ -181,10 +183,12 @@
     Attributes:
         service: Service of the node's upstream.
         by_route: Slot seconds per request by service, by route name.
+        calls_by_route: Calls per request by service, by route name.
     """
 
     service: str
     by_route: dict[str, dict[str, float]]
+    calls_by_route: dict[str, dict[str, float]] = {}
 
 
 # Node table and token distribution.
--- a/src/apricothinge/mesh/costs.py
+++ b/src/apricothinge/mesh/costs.py
@@ -24,20 +24,27 @@
     message replaces earlier ones.
     """
 
-    __slots__ = ("_costs_by_route",)
+    __slots__ = ("_costs_by_route", "_calls_by_route")
 
     def __init__(self) -> None:
         self._costs_by_route: dict[tuple[str, str], callgraph.Costs] = {}
+        self._calls_by_route: dict[tuple[str, str], dict[str, float]] = {}
 
     def put(self, message: frames.Costs) -> None:
         """Stores the costs that a node has published."""
         for route, costs in message.by_route.items():
             self._costs_by_route[message.service, route] = costs
+        for route, calls in message.calls_by_route.items():
+            self._calls_by_route[message.service, route] = calls
 
     def get(self, service: str, route: str) -> callgraph.Costs:
         """Returns slot seconds by service for one request; empty if unknown."""
         return self._costs_by_route.get((service, route), {})
 
+    def calls(self, service: str, route: str) -> dict[str, float]:
+        """Returns the calls of one request by service, including itself."""
+        return self._calls_by_route.get((service, route), {service: 1.0})
+
 
 class _HoldTime:
     """How long a request on a route holds a slot.
@@ -62,13 +69,14 @@
     """
 
     __slots__ = ("_cost_table", "_counts", "_hold_time_by_route", "_published",
-                 "_published_at", "_publications", "service")
+                 "_published_at", "_publications", "_calls", "service")
 
     def __init__(self, cost_table: CostTable, now: float) -> None:
         self._cost_table = cost_table
         self._counts = callgraph.CallCountEstimator(now)
         self._hold_time_by_route: dict[str, _HoldTime] = {}
         self._published: dict[str, callgraph.Costs] = {}
+        self._calls: dict[str, dict[str, float]] = {}
         self._published_at = now
         self._publications = 0
         self.service = ""
@@ -98,7 +106,7 @@
 
     def message(self) -> frames.Costs:
         """Returns the message with the latest published costs."""
-        return frames.Costs(self.service, self._published)
+        return frames.Costs(self.service, self._published, self._calls)
 
     def tick(self, now: float) -> bool:
         """Recomputes costs once a second; returns whether any has changed."""
@@ -122,9 +130,20 @@
                      for name, count in calls_by_route.get(route, {}).items()])
             for route, found in self._hold_time_by_route.items()
         }
+        tree_calls_by_route = {
+            route:
+                callgraph.total_costs(
+                    {self.service: 1.0},
+                    [(count, self._cost_table.calls(*name))
+                     for name, count in calls_by_route.get(route, {}).items()])
+            for route in self._hold_time_by_route
+        }
         unchanged = costs_by_route.keys() == self._published.keys() and all(
             callgraph.is_close(costs, self._published[route], _TOLERANCE)
-            for route, costs in costs_by_route.items())
+            for route, costs in costs_by_route.items()) and all(
+                callgraph.is_close(calls, self._calls.get(route, {}),
+                                   _TOLERANCE)
+                for route, calls in tree_calls_by_route.items())
         if unchanged:
             return False
         self._published = {
@@ -132,6 +151,11 @@
                 service: round(cost_s, 4) for service, cost_s in costs.items()
             } for route, costs in costs_by_route.items()
         }
+        self._calls = {
+            route: {
+                service: round(count, 2) for service, count in calls.items()
+            } for route, calls in tree_calls_by_route.items()
+        }
         self._published_at = now
         self._publications += 1
         self._cost_table.put(self.message())
--- a/src/apricothinge/mesh/downstream.py
+++ b/src/apricothinge/mesh/downstream.py
@@ -8,6 +8,7 @@
 from apricothinge import log
 from apricothinge.link import frames
 from apricothinge.mesh import costs
+from apricothinge.overload import completion
 from apricothinge.overload import entry_shedder
 from apricothinge.overload import routing
 
@@ -23,13 +24,17 @@
 # the second. The gap keeps a load near the limit from flooding the log.
 _FULL_THRESHOLD: Final = 0.9
 _RECOVERED_THRESHOLD: Final = 0.99
+# The same for the fraction of its calls that a service rejects.
+_MANY_REJECTIONS: Final = 0.2
+_RECOVERED_REJECTIONS: Final = 0.1
 
 
 class DownstreamCapacity:
     """Checks downstream capacity for a request and the calls it leads to."""
 
     __slots__ = ("_loop", "_router", "_cost_table", "_shedder",
-                 "_fraction_by_service", "_refreshed_at", "_full_services")
+                 "_fraction_by_service", "_rejected_by_service",
+                 "_refreshed_at", "_full_services", "_rejecting_services")
 
     def __init__(self, router: routing.Router, cost_table: costs.CostTable,
                  rng: random.Random) -> None:
@@ -38,13 +43,26 @@
         self._cost_table = cost_table
         self._shedder = entry_shedder.EntryShedder(self._loop.time(), rng)
         self._fraction_by_service: dict[str, float] = {}
+        self._rejected_by_service: dict[str, float] = {}
         self._refreshed_at = 0.0
         self._full_services: set[str] = set()
+        self._rejecting_services: set[str] = set()
 
     def _refresh(self, now: float) -> None:
         """Updates the admitted fractions and logs which services are full."""
         self._fraction_by_service = self._router.capacity_ratios()
+        self._rejected_by_service = self._router.rejected_fractions()
         self._refreshed_at = now
+        for service, rejected in self._rejected_by_service.items():
+            if service in self._rejecting_services:
+                if rejected < _RECOVERED_REJECTIONS:
+                    self._rejecting_services.remove(service)
+                    log.event("service:accepts", service=service)
+            elif rejected > _MANY_REJECTIONS:
+                self._rejecting_services.add(service)
+                log.event("service:rejects",
+                          service=service,
+                          fraction=round(rejected, 3))
         for service, fraction in self._fraction_by_service.items():
             if service in self._full_services:
                 if fraction > _RECOVERED_THRESHOLD:
@@ -67,9 +85,13 @@
         now = self._loop.time()
         if now - self._refreshed_at >= _REFRESH_S:
             self._refresh(now)
-        fraction = self._shedder.admission_probability(
-            now, call.rank, self._cost_table.get(call.service, call.route),
-            self._fraction_by_service)
+        fraction = min(
+            self._shedder.admission_probability(
+                now, call.rank, self._cost_table.get(call.service, call.route),
+                self._fraction_by_service),
+            completion.admission_probability(
+                self._cost_table.calls(call.service, call.route),
+                self._rejected_by_service))
         if self._shedder.admit(fraction):
             return
         raise errors.CallError(
--- a/src/apricothinge/mesh/node.py
+++ b/src/apricothinge/mesh/node.py
@@ -342,13 +342,16 @@
         ratio_threshold = (_RATIO_CHANGE_THRESHOLD if min(
             load.part, sent_load.part) < 1.0 else _SPARE_RATIO_CHANGE_THRESHOLD)
         return (change > _LOAD_CHANGE_THRESHOLD * load.slots or
+                abs(load.rejected - sent_load.rejected)
+                > _RATIO_CHANGE_THRESHOLD or
                 abs(load.part - sent_load.part) > ratio_threshold)
 
     def _update_local_load(self) -> None:
         target = self._router.by_instance.get(self._settings.instance)
         if target is not None:
             load = self.upstream.load()
-            target.update_load(load.running, load.queued, load.slots, load.part)
+            target.update_load(load.running, load.queued, load.slots, load.part,
+                               load.rejected)
 
     def _render_metrics(self) -> bytes:
         node_metrics = self.state.metrics
@@ -359,6 +362,7 @@
                                              None else upstream_row.rate_limit)
         node_metrics.upstream_cold.set(0.0 if upstream_row is
                                        None else upstream_row.cold_s)
+        node_metrics.upstream_rejected.set(load.rejected)
         node_metrics.in_flight.set(load.running)
         node_metrics.queued.set(load.queued)
         node_metrics.revision.set(self.state.revision)
--- a/src/apricothinge/mesh/peers.py
+++ b/src/apricothinge/mesh/peers.py
@@ -266,7 +266,8 @@
         target = self._router.by_instance.get(peer.row.instance)
         if target is not None and peer.load is not None:
             load = peer.load
-            target.update_load(load.running, load.queued, load.slots, load.part)
+            target.update_load(load.running, load.queued, load.slots, load.part,
+                               load.rejected)
 
     def update_router(self, peer: Peer) -> None:
         """Publishes a node's upstream and its availability to the router."""
--- a/src/apricothinge/mesh/upstream.py
+++ b/src/apricothinge/mesh/upstream.py
@@ -14,6 +14,7 @@
 from apricothinge.mesh import costs
 from apricothinge.mesh import names
 from apricothinge.overload import cold_start
+from apricothinge.overload import completion
 from apricothinge.overload import crashes
 from apricothinge.overload import load_feedback
 from apricothinge.web import client
@@ -94,7 +95,8 @@
                  "_loop", "_queue", "_check_in", "_usable", "_deregistered_ids",
                  "_probe_task", "_crash_table", "_metrics", "_incarnation",
                  "_crash_count", "_local_costs", "_load_feedback",
-                 "_announcements", "_evacuated", "_queue_timer")
+                 "_announcements", "_evacuated", "_queue_timer",
+                 "_rejection_meter")
 
     def __init__(self, address: settings.Address,
                  header_names: names.HeaderNames, pool: client.ConnectionPool,
@@ -109,6 +111,7 @@
         self._metrics = node_metrics
         self._local_costs = local_costs
         self._queue = admission_queue.AdmissionQueue(self._loop.time())
+        self._rejection_meter = completion.RejectionMeter(self._loop.time())
         self._load_feedback = load_feedback.LoadFeedback(self._loop.time())
         self._check_in: CheckIn | None = None
         self._usable = False
@@ -144,9 +147,11 @@
     def load(self) -> frames.Load:
         """Returns the current load."""
         queue = self._queue
-        return frames.Load(queue.running, queue.queued,
-                           max(1, round(queue.capacity(self._loop.time()))),
-                           round(self._load_feedback.capacity_ratio, 3))
+        return frames.Load(
+            queue.running, queue.queued,
+            max(1, round(queue.capacity(self._loop.time()))),
+            round(self._load_feedback.capacity_ratio, 3),
+            round(self._rejection_meter.fraction(self._loop.time()), 3))
 
     # Check-ins.
 
@@ -492,6 +497,9 @@
             if self.in_flight[call.fingerprint] <= 0:
                 del self.in_flight[call.fingerprint]
         self._crash_table.record_response(self._loop.time(), call.fingerprint)
+        self._rejection_meter.record(
+            self._loop.time(),
+            messages.header(response.headers, self._names.not_run) is not None)
         if (self._is_same_lifetime(latest) and
                 self._announcements.read(self._loop.time(), response.headers)):
             self._publish_announcements()
--- a/src/apricothinge/metrics.py
+++ b/src/apricothinge/metrics.py
@@ -37,10 +37,10 @@
     """Metrics of a node."""
 
     __slots__ = ("registry", "calls", "refusals", "call_seconds", "queue_delay",
-                 "limit", "upstream_rate_limit", "upstream_cold", "in_flight",
-                 "queued", "retries", "tokens", "revision", "revision_age",
-                 "connections", "peers", "loop_lag", "lines_omitted",
-                 "token_loans")
+                 "limit", "upstream_rate_limit", "upstream_cold",
+                 "upstream_rejected", "in_flight", "queued", "retries",
+                 "tokens", "revision", "revision_age", "connections", "peers",
+                 "loop_lag", "lines_omitted", "token_loans")
 
     def __init__(self) -> None:
         self.registry = prometheus_client.CollectorRegistry()
@@ -76,6 +76,9 @@
             "Requests per second that the upstream takes; 0 for no limit.")
         self.upstream_cold = self._gauge(
             "upstream_cold_seconds", "Remaining warm-up time of the upstream.")
+        self.upstream_rejected = self._gauge(
+            "upstream_rejected_fraction",
+            "Fraction of its requests that the upstream rejects unrun.")
         self.in_flight = self._gauge("in_flight",
                                      "Calls in flight at the upstream.")
         self.queued = self._gauge("queued", "Calls queued for admission.")
--- a/src/apricothinge/overload/routing.py
+++ b/src/apricothinge/overload/routing.py
@@ -48,13 +48,14 @@
         slots: Calls that it can run concurrently; 0 if unknown.
         capacity_ratio: Fraction of the demand on its service that fills it.
         suspect: Whether its node has not answered for a while.
+        rejected_fraction: Fraction of the calls that it rejects unrun.
     """
 
     __slots__ = ("instance", "service", "failure_domain", "region", "peer",
                  "draining", "incarnation", "outstanding", "latency_s",
                  "admitted_fraction", "failures", "ejections", "ejected_until",
                  "started_at", "cold_until", "utilisation", "sent_since_report",
-                 "slots", "capacity_ratio", "suspect")
+                 "slots", "capacity_ratio", "suspect", "rejected_fraction")
 
     def __init__(self, instance: str, service: str, failure_domain: str,
                  region: str, peer: settings.Address, draining: bool,
@@ -79,10 +80,16 @@
         self.slots = 0
         self.capacity_ratio = 1.0
         self.suspect = False
-
-    def update_load(self, running: int, queued: int, slots: int,
-                    capacity_ratio: float) -> None:
+        self.rejected_fraction = 0.0
+
+    def update_load(self,
+                    running: int,
+                    queued: int,
+                    slots: int,
+                    capacity_ratio: float,
+                    rejected_fraction: float = 0.0) -> None:
         """Applies a load report of the instance."""
+        self.rejected_fraction = rejected_fraction
         self.capacity_ratio = capacity_ratio
         self.slots = slots
         self.utilisation = (running + queued) / max(1, slots)
@@ -193,6 +200,21 @@
             for service in self._by_service
         }
 
+    def rejected_fractions(self) -> dict[str, float]:
+        """Returns the fraction of calls that each service rejects unrun."""
+        fractions = {}
+        for service, upstreams in self._by_service.items():
+            accepting = [
+                upstream for upstream in upstreams
+                if not upstream.draining and upstream.slots
+            ]
+            slots = sum(upstream.slots for upstream in accepting)
+            if slots:
+                fractions[service] = sum(
+                    upstream.rejected_fraction * upstream.slots
+                    for upstream in accepting) / slots
+        return fractions
+
     def has_service(self, service: str) -> bool:
         """Returns whether the service has or had an instance."""
         return service in self._by_service
