Give nested calls the importance of their root

Cause: nested calls carry no key, so a full or rejecting deep service served important and unimportant trees as equals.

Change: a nested call whose identifier begins with that of a request that runs on the upstream beside the node gets its rank, below all ranks of callers' requests. Queues and retry budgets go by it; the total of retries stays as it was. Calls without a match have the rank that all had before.

--- a/src/apricothinge/mesh/dispatch.py
+++ b/src/apricothinge/mesh/dispatch.py
@@ -149,7 +149,8 @@
                              self._may_run_again(upstream_request, last) and
                              upstream_request.deadline - self._loop.time()
                              > _MIN_REMAINING_S and
-                             budget.try_retry(height, last.may_have_run))
+                             budget.try_retry(height, last.may_have_run,
+                                              upstream_request.call.rank))
             else:
                 refusals += 1
                 may_retry = (refusals < _MAX_REFUSALS and
--- a/src/apricothinge/mesh/entry.py
+++ b/src/apricothinge/mesh/entry.py
@@ -13,6 +13,7 @@
 from apricothinge.mesh import dispatch
 from apricothinge.mesh import documents
 from apricothinge.mesh import downstream
+from apricothinge.mesh import parents
 from apricothinge.mesh import state
 from apricothinge.mesh import token_loans
 from apricothinge.mesh import upstream
@@ -25,7 +26,6 @@
 
 # Content up to this size is kept for retries and enters the fingerprint.
 _MAX_REPLAY_BYTES: Final = 65536
-_NESTED_RANK: Final = -1
 # The priority of the organisation takes precedence over that of the route.
 _RANKS_PER_ORGANISATION_PRIORITY: Final = 100
 # Maximum jitter that is added to a retry time, relative to it. Without jitter,
@@ -50,7 +50,7 @@
 
     __slots__ = ("_state", "_dispatcher", "_attachment", "_loop", "_random",
                  "_reserved_headers", "_downstream_capacity", "_local_costs",
-                 "_token_borrower")
+                 "_token_borrower", "_running_requests")
 
     def __init__(self, node_state: state.NodeState,
                  dispatcher: dispatch.Dispatcher,
@@ -58,6 +58,7 @@
                  downstream_capacity: downstream.DownstreamCapacity,
                  local_costs: costs.LocalCosts,
                  token_borrower: token_loans.TokenBorrower,
+                 running_requests: parents.RunningRequests,
                  rng: random.Random) -> None:
         self._loop = asyncio.get_running_loop()
         self._state = node_state
@@ -66,6 +67,7 @@
         self._downstream_capacity = downstream_capacity
         self._local_costs = local_costs
         self._token_borrower = token_borrower
+        self._running_requests = running_requests
         self._random = rng
         self._reserved_headers = node_state.names.reserved()
 
@@ -260,7 +262,8 @@
         headers.append((b"host", host))
         headers.append(
             (header_names.calling_service, self._state.service.encode()))
-        rank = _NESTED_RANK if route.anonymous else route.priority
+        rank = (self._running_requests.rank_of_call(request_id)
+                if route.anonymous else route.priority)
         organisation_name = ""
         if organisation is not None:
             organisation_name = organisation.name
--- a/src/apricothinge/mesh/node.py
+++ b/src/apricothinge/mesh/node.py
@@ -214,7 +214,8 @@
                                           node_settings.failure_domain,
                                           self._peer_table,
                                           self.state.token_pool,
-                                          self.state.metrics, rng), rng),
+                                          self.state.metrics, rng),
+                self.upstream.running_requests, rng),
             node_settings.limits,
             input_age_s=self._pause_clock.input_age_s)
         self._admin_server = server.Server(
@@ -363,6 +364,9 @@
         node_metrics.upstream_cold.set(0.0 if upstream_row is
                                        None else upstream_row.cold_s)
         node_metrics.upstream_rejected.set(load.rejected)
+        running = self.upstream.running_requests
+        node_metrics.nested_calls_matched.set(running.matched)
+        node_metrics.nested_calls_unmatched.set(running.unmatched)
         node_metrics.in_flight.set(load.running)
         node_metrics.queued.set(load.queued)
         node_metrics.revision.set(self.state.revision)
--- a/src/apricothinge/mesh/upstream.py
+++ b/src/apricothinge/mesh/upstream.py
@@ -13,6 +13,7 @@
 from apricothinge.mesh import announcements
 from apricothinge.mesh import costs
 from apricothinge.mesh import names
+from apricothinge.mesh import parents
 from apricothinge.overload import cold_start
 from apricothinge.overload import completion
 from apricothinge.overload import crashes
@@ -89,14 +90,15 @@
         on_change: Called when the state that is published to other nodes has
             changed.
         in_flight: Number of running requests by fingerprint.
+        running_requests: Ranks of the running requests.
     """
 
-    __slots__ = ("on_change", "in_flight", "_address", "_names", "_pool",
-                 "_loop", "_queue", "_check_in", "_usable", "_deregistered_ids",
-                 "_probe_task", "_crash_table", "_metrics", "_incarnation",
-                 "_crash_count", "_local_costs", "_load_feedback",
-                 "_announcements", "_evacuated", "_queue_timer",
-                 "_rejection_meter")
+    __slots__ = ("on_change", "in_flight", "running_requests", "_address",
+                 "_names", "_pool", "_loop", "_queue", "_check_in", "_usable",
+                 "_deregistered_ids", "_probe_task", "_crash_table", "_metrics",
+                 "_incarnation", "_crash_count", "_local_costs",
+                 "_load_feedback", "_announcements", "_evacuated",
+                 "_queue_timer", "_rejection_meter")
 
     def __init__(self, address: settings.Address,
                  header_names: names.HeaderNames, pool: client.ConnectionPool,
@@ -126,6 +128,7 @@
             header_names, self._queue.rate_limiter)
         self.on_change = _ignore_change
         self.in_flight: collections.Counter[str] = collections.Counter()
+        self.running_requests = parents.RunningRequests()
 
     @property
     def service(self) -> str:
@@ -468,6 +471,7 @@
         latest = self._check_in
         assert latest is not None
         self.in_flight[call.fingerprint] += 1
+        self.running_requests.add(call.request_id, call.rank)
         try:
             async with asyncio.timeout_at(upstream_request.deadline +
                                           _RESPONSE_SLACK_S):
@@ -493,6 +497,7 @@
                 errors.Kind.UPSTREAM_FAILED if call.idempotent else
                 errors.Kind.OUTCOME_UNKNOWN, str(error)) from None
         finally:
+            self.running_requests.remove(call.request_id)
             self.in_flight[call.fingerprint] -= 1
             if self.in_flight[call.fingerprint] <= 0:
                 del self.in_flight[call.fingerprint]
--- a/src/apricothinge/metrics.py
+++ b/src/apricothinge/metrics.py
@@ -38,7 +38,8 @@
 
     __slots__ = ("registry", "calls", "refusals", "call_seconds", "queue_delay",
                  "limit", "upstream_rate_limit", "upstream_cold",
-                 "upstream_rejected", "in_flight", "queued", "retries",
+                 "upstream_rejected", "nested_calls_matched",
+                 "nested_calls_unmatched", "in_flight", "queued", "retries",
                  "tokens", "revision", "revision_age", "connections", "peers",
                  "loop_lag", "lines_omitted", "token_loans")
 
@@ -79,6 +80,11 @@
         self.upstream_rejected = self._gauge(
             "upstream_rejected_fraction",
             "Fraction of its requests that the upstream rejects unrun.")
+        self.nested_calls_matched = self._gauge(
+            "nested_calls_matched", "Nested calls whose parent was found.")
+        self.nested_calls_unmatched = self._gauge(
+            "nested_calls_unmatched",
+            "Nested calls whose parent was not found.")
         self.in_flight = self._gauge("in_flight",
                                      "Calls in flight at the upstream.")
         self.queued = self._gauge("queued", "Calls queued for admission.")
