Bound the time for which a request waits for borrowed tokens

Twenty lenders that do not answer would hold a refusal up for a second: a round ends after 0.2 s. The round also keeps its task, of which the event loop holds only a weak reference.

--- a/src/apricothinge/mesh/token_loans.py
+++ b/src/apricothinge/mesh/token_loans.py
@@ -22,6 +22,8 @@
 # A round trip between failure domains takes a few milliseconds, and the request
 # that waits for it must not become late.
 _REPLY_TIMEOUT_S: Final = 0.05
+# Lenders that do not answer must not hold up a refusal for long.
+_ROUND_TIMEOUT_S: Final = 0.2
 # A loan covers the demand of this many seconds.
 _LOAN_DEMAND_S: Final = 0.2
 
@@ -31,14 +33,14 @@
 
     Attributes:
         waiting: Number of requests.
-        done: Result: whether tokens were lent.
+        task: Asks the nodes; None until it is started.
     """
 
-    __slots__ = ("waiting", "done")
+    __slots__ = ("waiting", "task")
 
-    def __init__(self, done: "asyncio.Future[bool]") -> None:
+    def __init__(self) -> None:
         self.waiting = 0
-        self.done = done
+        self.task: asyncio.Task[None] | None = None
 
 
 class TokenBorrower:
@@ -81,17 +83,18 @@
             return False
         asking = self._round_by_name.get(name)
         if asking is None:
-            asking = self._round_by_name[name] = _Round(
-                self._loop.create_future())
-            asyncio.ensure_future(self._ask(name, asking))
+            asking = self._round_by_name[name] = _Round()
+            asking.task = asyncio.ensure_future(self._ask(name, asking))
         asking.waiting += 1
-        await asyncio.wait((asking.done,))
+        assert asking.task is not None
+        await asyncio.wait((asking.task,))
         return self._book.take(runtime.boottime_s(), name)
 
     async def _ask(self, name: str, asking: _Round) -> None:
         """Asks one node after the other until one lends tokens."""
         lent = 0
         lender = ""
+        give_up_at = self._loop.time() + _ROUND_TIMEOUT_S
         try:
             # Requests that arrive in the same turn share the round.
             await asyncio.sleep(0)
@@ -100,6 +103,8 @@
                 if lent:
                     self._lender_by_name[name] = lender
                     break
+                if self._loop.time() >= give_up_at:
+                    break
         finally:
             del self._round_by_name[name]
             if not lent:
@@ -111,7 +116,6 @@
                       lender=lender,
                       count=lent,
                       waiting=asking.waiting)
-            asking.done.set_result(lent > 0)
 
     def _candidates(self, name: str) -> list[tuple[str, connection.Link]]:
         """Returns the nodes to ask and the links to them, in order.
