Do not wait for a frozen leader of control a second time

Cause: the leader froze at 2.2 s. Its nodes noticed at 4.66 s, and then connected to it again, as a frozen process still accepts connections, and waited another second for its first update. They had the state at 5.96 s.

Change: an address whose instance has fallen silent is left out until the node is attached again, unless it is the only one. test_state_late_after_freeze_of_leader failed before: "a" was tried again.

Also: the share of a rate that each node has without a server starts with one window's worth of the whole fleet, which admits requests of large rates at once (test_restart_without_control failed with an empty start) and none of small ones; a node without links waits for one before it gives up borrowing.

--- a/src/apricothinge/mesh/attachment.py
+++ b/src/apricothinge/mesh/attachment.py
@@ -17,7 +17,7 @@
 from apricothinge.mesh import state
 from apricothinge.mesh import upstream
 
-__all__ = ["Attachment"]
+__all__ = ["Attachment", "responsive_first"]
 
 _REPORT_INTERVAL_S: Final = 0.5
 _MIN_REPORT_INTERVAL_S: Final = 0.03
@@ -32,6 +32,19 @@
 _NO_TOKENS_BACKOFF_S: Final = 0.03
 
 
+def responsive_first(addresses: list[str], silent: str) -> list[str]:
+    """Returns the addresses of control instances worth trying.
+
+    Handles a leader that is frozen: it still accepts connections, and waiting
+    for it again would delay the state of its successor.
+
+    Args:
+        addresses: "IP:port" of the known instances, at least one.
+        silent: That of the instance that has fallen silent last, or empty.
+    """
+    return [address for address in addresses if address != silent] or addresses
+
+
 class Attachment(connection.LinkHandler):
     """Keeps the node attached to the current leader of control.
 
@@ -46,7 +59,7 @@
                  "_task", "_link", "_last_update_at", "_sequence", "_sent_row",
                  "_sent_token_counts", "_leader_hint", "_sent_at_by_sequence",
                  "_token_request_by_name", "_waiter_count_by_name",
-                 "_no_tokens_until_by_name")
+                 "_no_tokens_until_by_name", "_silent_address")
 
     def __init__(self, node_state: state.NodeState, peer_table: peers.PeerTable,
                  row_builder: "RowBuilder", seeds: list[str],
@@ -68,6 +81,7 @@
             str] = collections.Counter()
         self._no_tokens_until_by_name: dict[str, float] = {}
         self._leader_hint = ""
+        self._silent_address = ""
         self._sent_at_by_sequence: dict[int, float] = {}
         self.attached_to = ""
         self.has_grants = False
@@ -97,8 +111,9 @@
             address = self._leader_hint
             self._leader_hint = ""
             if not address:
-                address = self._known_addresses[index %
-                                                len(self._known_addresses)]
+                addresses = responsive_first(self._known_addresses,
+                                             self._silent_address)
+                address = addresses[index % len(addresses)]
                 index += 1
             try:
                 await self._attach_and_report(address)
@@ -150,6 +165,7 @@
                             if self._last_update_at else opened_at +
                             _FIRST_UPDATE_TIMEOUT_S)
                 if now > deadline:
+                    self._silent_address = address
                     break
         finally:
             link.abort()
@@ -238,6 +254,7 @@
             return
         if not self._last_update_at:
             self.attached_to = link.peer
+            self._silent_address = ""
             log.event("control:attached", control=link.peer)
         self._last_update_at = self._loop.time()
         self.has_grants = message.grants_tokens
--- a/src/apricothinge/mesh/token_loans.py
+++ b/src/apricothinge/mesh/token_loans.py
@@ -24,6 +24,7 @@
 _REPLY_TIMEOUT_S: Final = 0.05
 # Lenders that do not answer must not hold up a refusal for long.
 _ROUND_TIMEOUT_S: Final = 0.2
+_LINK_POLL_INTERVAL_S: Final = 0.02
 # A loan covers the demand of this many seconds.
 _LOAN_DEMAND_S: Final = 0.2
 
@@ -98,7 +99,12 @@
         try:
             # Requests that arrive in the same turn share the round.
             await asyncio.sleep(0)
-            for lender, link in self._candidates(name):
+            candidates = self._candidates(name)
+            while not candidates and self._loop.time() < give_up_at:
+                # A node that has just started has no links yet.
+                await asyncio.sleep(_LINK_POLL_INTERVAL_S)
+                candidates = self._candidates(name)
+            for lender, link in candidates:
                 lent = await self._ask_node(name, asking, lender, link)
                 if lent:
                     self._lender_by_name[name] = lender
--- a/src/apricothinge/mesh/tokens.py
+++ b/src/apricothinge/mesh/tokens.py
@@ -75,8 +75,6 @@
         self.requests = 0
         self.demand = 0.0
         self.window_size = 0.0
-        # Empty at first: a token at each node of a large fleet, all spent in
-        # the moment in which the server is lost, would exceed a small rate.
         self.detached_bucket = limiter.TokenBucket(0.0, 1.0, 0.0, now)
         self.recent_spends: collections.deque[float] = collections.deque()
         self.recent_excess = 0
@@ -225,8 +223,19 @@
             self._set_window_size(account, _nominal_window_tokens(organisation))
             rate = _DETACHED_FRACTION * account.window_size / WINDOW_S / max(
                 1, self.nodes)
-            account.detached_bucket.resize(now, 0.0 if has_grants else rate,
-                                           0.0 if has_grants else 1.0)
+            self._resize_detached_bucket(now, account.detached_bucket,
+                                         0.0 if has_grants else rate)
+
+    @staticmethod
+    def _resize_detached_bucket(now: float, bucket: limiter.TokenBucket,
+                                rate: float) -> None:
+        """Sets the rate of requests allowed without a server, 0 with one."""
+        was_attached = not bucket.rate_per_s
+        bucket.resize(now, rate, 1.0 if rate else 0.0)
+        if was_attached:
+            # All nodes start at the same moment, so together they must not have
+            # more than the share of one window.
+            bucket.level = min(bucket.burst, rate * WINDOW_S)
 
     @staticmethod
     def _set_window_size(account: _Account, window_size: float) -> None:
