--- a/tests/test_attachment.py
+++ b/tests/test_attachment.py
@@ -15,7 +15,7 @@
         tried = []
         found = asyncio.Event()
 
-        async def attach(address):
+        async def attach(_, address):
             tried.append(address)
             if len(tried) == count:
                 found.set()
@@ -26,8 +26,9 @@
                                                 mock.Mock(), ["a", "b", "c"],
                                                 mock.Mock())
         node_attachment._silent_address = silent
-        with mock.patch.object(attachment, "_RECONNECT_DELAY_S", 0.0):
-            node_attachment._attach_and_report = attach
+        with mock.patch.object(attachment, "_RECONNECT_DELAY_S", 0.0), \
+                mock.patch.object(attachment.Attachment, "_attach_and_report",
+                                  attach):
             node_attachment.start()
             await found.wait()
             await node_attachment.stop()
