--- a/src/apricothinge/mesh/upstream.py
+++ b/src/apricothinge/mesh/upstream.py
@@ -213,11 +213,14 @@
 
     def _log_warm_up(self, reason: str) -> None:
         now = self._loop.time()
+        cold_s = self._queue.cold_limiter.remaining_s(now)
+        if not cold_s:
+            return
         latest = self._check_in
         log.event("upstream:warm_up",
                   upstream="" if latest is None else latest.upstream_id,
                   why=reason,
-                  cold_s=round(self._queue.cold_limiter.remaining_s(now), 2),
+                  cold_s=round(cold_s, 2),
                   rate=self._queue.cold_limiter.rate(now))
 
     def limit_cold_start(self, limit: cold_start.ColdStartLimit) -> None:
