Let nested calls wait as equals again

Cause: with the importance of the root in the queue, trees of the least important route starved at the deepest service after they had been admitted and had taken slots above.

--- a/src/apricothinge/mesh/parents.py
+++ b/src/apricothinge/mesh/parents.py
@@ -3,10 +3,9 @@
 import collections
 from typing import Final
 
-__all__ = ["NESTED_RANK", "RunningRequests", "nested_rank"]
+__all__ = ["NESTED_RANK", "RunningRequests", "nested_rank", "queue_rank"]
 
-# Rank of a nested call whose parent is not known. It goes before all requests
-# of callers and after nested calls of known parents.
+# Rank of a nested call whose parent is not known.
 NESTED_RANK: Final = -1
 # Above the rank of any request of a caller.
 _NESTED_RANK_OFFSET: Final = 1_000_000
@@ -15,14 +14,23 @@
 def nested_rank(parent_rank: int) -> int:
     """Returns the rank of a call that a request with a given rank makes.
 
-    All nested calls go before requests of callers, as refusing them wastes what
-    their tree has done. Among them, the importance of the root decides.
+    All nested calls rank before requests of callers, as refusing them wastes
+    what their tree has done. Among them, the importance of the root decides.
     """
     if parent_rank < 0:
         return parent_rank
     return parent_rank - _NESTED_RANK_OFFSET
 
 
+def queue_rank(rank: int) -> int:
+    """Returns the rank by which a call waits beside an upstream.
+
+    Nested calls wait as equals: a tree that was admitted has taken slots of
+    services above, and starving it at the end wastes them.
+    """
+    return NESTED_RANK if rank < 0 else rank
+
+
 class RunningRequests:
     """Ranks of the requests that run on the local upstream, by identifier.
 
--- a/src/apricothinge/mesh/upstream.py
+++ b/src/apricothinge/mesh/upstream.py
@@ -383,7 +383,7 @@
         remaining_s = upstream_request.deadline - now
         if remaining_s < _MIN_REMAINING_S:
             raise errors.CallError(errors.Kind.EXPIRED)
-        rank = upstream_request.call.rank
+        rank = parents.queue_rank(upstream_request.call.rank)
         hold_s = self._local_costs.hold_s(upstream_request.call.route,
                                           self._queue.hold_s)
         self._load_feedback.record_arrival(hold_s)
