--- a/src/apricothinge/mesh/token_loans.py
+++ b/src/apricothinge/mesh/token_loans.py
@@ -126,7 +126,7 @@
     def _candidates(self, name: str) -> list[tuple[str, connection.Link]]:
         """Returns the nodes to ask and the links to them, in order.
 
-        The custodians come first, then the latest lender, then others at
+        The holders come first, then the latest lender, then others at
         random; the own failure domain before the others.
         """
         now = self._loop.time()
@@ -137,8 +137,8 @@
             if peer.listed:
                 instances_by_domain.setdefault(peer.row.failure_domain,
                                                []).append(instance)
-        custodians = {
-            loans.custodian(name, instances)
+        holders = {
+            loans.holder(name, instances)
             for instances in instances_by_domain.values()
         }
         last_lender = self._lender_by_name.get(name)
@@ -149,7 +149,7 @@
                 continue
             is_remote = peer.row.failure_domain != self._own_domain
             usable.append(
-                (instance not in custodians, instance
+                (instance not in holders, instance
                  != last_lender, is_remote, self._rng.random(), instance, link))
         usable.sort(key=lambda row: row[:4])
         return [(row[4], row[5]) for row in usable[:_MAX_LENDERS]]
--- a/src/apricothinge/mesh/token_server.py
+++ b/src/apricothinge/mesh/token_server.py
@@ -20,7 +20,7 @@
 _MIN_PREFETCH_SHARE: Final = 6.0
 # Tokens of a small rate that one node in each failure domain keeps for the
 # others, as a fraction of a window in all.
-_CUSTODIAN_FRACTION: Final = 0.15
+_HOLDER_FRACTION: Final = 0.15
 # Known nodes attach to a new leader within this time.
 _ATTACH_GRACE_S: Final = 0.6
 # A restarted node does not know what its previous process has spent. The server
@@ -98,7 +98,7 @@
 
     __slots__ = ("_window_by_name", "_orphaned_by_name", "_node_by_instance",
                  "_expected_instances", "_started_at", "_restarted_instances",
-                 "_changed_names", "_custodians_by_name")
+                 "_changed_names", "_holders_by_name")
 
     def __init__(self, now: float) -> None:
         """Starts for a new term; `now` is from `runtime.boottime_s`."""
@@ -110,7 +110,7 @@
         self._started_at = now
         # Organisations whose tokens may have to be distributed again.
         self._changed_names: set[str] = set()
-        self._custodians_by_name: dict[str, list[str]] = {}
+        self._holders_by_name: dict[str, list[str]] = {}
 
     def set_windows(self, window_by_name: dict[str, float]) -> None:
         """Sets the tokens of each organisation in a window."""
@@ -139,7 +139,7 @@
             peers: Other nodes known to it, which may also hold tokens.
             failure_domain: Where it is.
         """
-        self._custodians_by_name.clear()
+        self._holders_by_name.clear()
         known = self._node_by_instance.get(instance)
         if known is not None and known.incarnation != incarnation:
             self._orphan_tokens(now, known)
@@ -166,7 +166,7 @@
         if node is None:
             return
         node.attached = False
-        self._custodians_by_name.clear()
+        self._holders_by_name.clear()
         self._mark_all_changed()
         if ended:
             self._orphan_tokens(now, node)
@@ -296,30 +296,30 @@
             if self._prefetches(window):
                 self._distribute(name, free, window, nodes, granted)
             else:
-                self._fill_custodians(name, free, window, nodes, granted)
+                self._fill_holders(name, free, window, nodes, granted)
         return granted
 
-    def _custodians(self, name: str, nodes: dict[str, _Node]) -> list[str]:
-        """Returns the custodian of an organisation in each failure domain."""
-        found = self._custodians_by_name.get(name)
+    def _holders(self, name: str, nodes: dict[str, _Node]) -> list[str]:
+        """Returns the holder of an organisation in each failure domain."""
+        found = self._holders_by_name.get(name)
         if found is None:
             instances_by_domain: dict[str, list[str]] = {}
             for instance, node in nodes.items():
                 instances_by_domain.setdefault(node.failure_domain,
                                                []).append(instance)
-            found = self._custodians_by_name[name] = [
-                loans.custodian(name, instances)
+            found = self._holders_by_name[name] = [
+                loans.holder(name, instances)
                 for instances in instances_by_domain.values()
             ]
         return found
 
-    def _fill_custodians(self, name: str, free: float, window: float,
-                         nodes: dict[str, _Node],
-                         granted: dict[str, dict[str, int]]) -> None:
+    def _fill_holders(self, name: str, free: float, window: float,
+                      nodes: dict[str, _Node],
+                      granted: dict[str, dict[str, int]]) -> None:
         """Grants tokens of a small rate to the nodes that keep them."""
-        custodians = self._custodians(name, nodes)
-        target = int(window * _CUSTODIAN_FRACTION / len(custodians))
-        for instance in custodians:
+        holders = self._holders(name, nodes)
+        target = int(window * _HOLDER_FRACTION / len(holders))
+        for instance in holders:
             allocation = nodes[instance].allocation(name)
             count = min(int(free), target - max(0, allocation.outstanding))
             if count < max(1, target // 4):
--- a/src/apricothinge/rates/loans.py
+++ b/src/apricothinge/rates/loans.py
@@ -5,7 +5,7 @@
 import hashlib
 from typing import Final
 
-__all__ = ["LOAN_VALID_S", "LoanBackoff", "LoanBook", "custodian", "loan_size"]
+__all__ = ["LOAN_VALID_S", "LoanBackoff", "LoanBook", "holder", "loan_size"]
 
 # A loan is for requests that wait for it, and is lost if they have gone.
 LOAN_VALID_S: Final = 0.5
@@ -32,7 +32,7 @@
     return max(0, min(requested, available - reserve))
 
 
-def custodian(name: str, instances: Iterable[str]) -> str:
+def holder(name: str, instances: Iterable[str]) -> str:
     """Returns the instance of a failure domain that keeps tokens for others.
 
     Handles small rates over many nodes: a few tokens at each would mostly stay
--- a/tests/test_token_loans.py
+++ b/tests/test_token_loans.py
@@ -116,20 +116,19 @@
                             f"d{index % _DOMAINS}")
 
     def _lenders(self, index, name):
-        """Returns the custodians of an organisation, then another node."""
-        custodians = [
+        """Returns the holders of an organisation, then another node."""
+        holders = [
             int(
-                loans.custodian(name, [
+                loans.holder(name, [
                     f"n{other}"
                     for other in range(domain, len(self.nodes), _DOMAINS)
                 ])[1:])
             for domain in range(_DOMAINS)
         ]
-        own = custodians.pop(index % _DOMAINS)
+        own = holders.pop(index % _DOMAINS)
         others = range(len(self.nodes))
         return [
-            own, *custodians[:2],
-            *self._rng.sample(others, min(17, len(others)))
+            own, *holders[:2], *self._rng.sample(others, min(17, len(others)))
         ]
 
     @property
