Log requests that end without a response at a stop

Cause: a request whose caller got no response left no line, as its handler ends by cancellation. So a request that was accepted too late can't be told from one that waited too long before it was sent.

Change: a node keeps its pending requests, and logs one that ends without a response: request:cut at a stop, request:cancelled if the caller has gone, with the stage it waited in, when it was accepted relative to the stop, the number of attempts and the instance it was last sent to. node:draining names how long the signal may have waited unnoticed, node:stopped how long the drain took.

--- a/src/apricothinge/mesh/dispatch.py
+++ b/src/apricothinge/mesh/dispatch.py
@@ -258,6 +258,7 @@
             self, target: routing.Upstream,
             upstream_request: upstream.UpstreamRequest) -> _AttemptResult:
         started_at = self._loop.time()
+        upstream_request.record_attempt(started_at, target.instance)
         self._router.record_sent(target)
         ended = False
         try:
--- a/src/apricothinge/mesh/entry.py
+++ b/src/apricothinge/mesh/entry.py
@@ -14,6 +14,7 @@
 from apricothinge.mesh import documents
 from apricothinge.mesh import downstream
 from apricothinge.mesh import parents
+from apricothinge.mesh import pending
 from apricothinge.mesh import state
 from apricothinge.mesh import token_loans
 from apricothinge.mesh import upstream
@@ -75,8 +76,9 @@
         header_names = self._state.names
         request_id = (messages.header(request.headers, header_names.request_id)
                       or b"").decode("latin-1")
+        pending_request = self._state.pending.add(self._loop.time(), request_id)
         try:
-            response = await self._handle(request, request_id)
+            return await self._handle(request, pending_request)
         except errors.CallError as error:
             if error.retry_after_s:
                 error.retry_after_s = self._add_jitter(error.retry_after_s)
@@ -90,7 +92,12 @@
             self._state.metrics.refusals.labels("entry", "", "",
                                                 error.code).inc()
             raise
-        return response
+        except asyncio.CancelledError:
+            pending_request.log_unanswered(self._loop.time(),
+                                           self._state.pending.stopped_at)
+            raise
+        finally:
+            self._state.pending.remove(pending_request)
 
     def may_run_ahead(self, request: messages.Request) -> bool:
         """Returns whether a request is idempotent by its route."""
@@ -107,8 +114,9 @@
         wait_s = max(_MIN_RETRY_S, wait_s)
         return wait_s * (1.0 + _RETRY_JITTER * self._random.random())
 
-    async def _handle(self, request: messages.Request,
-                      request_id: str) -> messages.Response:
+    async def _handle(
+            self, request: messages.Request,
+            pending_request: pending.PendingRequest) -> messages.Response:
         compiled = self._current_document()
         if self._state.closed:
             raise errors.CallError(errors.Kind.DRAINING,
@@ -125,6 +133,7 @@
             refundable = await self._spend_token(charged_organisation)
             if not refundable:
                 charged_organisation = None
+        pending_request.stage = pending.Stage.CONTENT
         try:
             await body.buffer(_MAX_REPLAY_BYTES)
             if self._state.compiled is not compiled:
@@ -134,7 +143,10 @@
                 route = self._find_route(compiled, request)
                 organisation = self._authenticate(compiled, route, request)
             upstream_request = self._make_upstream_request(
-                compiled, route, organisation, request, request_id)
+                compiled, route, organisation, request,
+                pending_request.request_id)
+            pending_request.upstream_request = upstream_request
+            pending_request.stage = pending.Stage.RESPONSE
             if self._state.crash_table.is_blocked(
                     self._loop.time(), upstream_request.call.fingerprint):
                 raise errors.CallError(errors.Kind.CRASH_SUSPECTED)
--- a/src/apricothinge/mesh/node.py
+++ b/src/apricothinge/mesh/node.py
@@ -395,12 +395,17 @@
         New requests are refused after `_MIN_DRAIN_S`. Requests that still run
         at the end of the grace period are aborted, which raises no error.
         """
-        log.event("node:draining", running=self.state.running)
+        # The signal may have come at any time since the loop last ran.
+        noticed_s = self._loop.time() - self._last_tick_at
+        log.event("node:draining",
+                  running=len(self.state.pending),
+                  noticed_s=round(noticed_s, 4))
         self.state.draining = True
         self.state.report_due.set()
         self._caller_server.close_after_responses()
         self._send_status()
         started_at = self._loop.time()
+        self.state.pending.stopped_at = started_at
         deadline = started_at + self._settings.grace_s * _GRACE_FRACTION
         while self._loop.time() < deadline:
             await asyncio.sleep(_DRAIN_POLL_INTERVAL_S)
@@ -411,7 +416,9 @@
                     not self._caller_server.busy_connections)
             if waited_s >= _MIN_DRAIN_S and idle:
                 break
-        log.event("node:stopped", running=self.state.running)
+        log.event("node:stopped",
+                  running=len(self.state.pending),
+                  waited_s=round(self._loop.time() - started_at, 4))
         await self._attachment.stop()
         if self._tick_task is not None:
             self._tick_task.cancel()
--- a/src/apricothinge/mesh/state.py
+++ b/src/apricothinge/mesh/state.py
@@ -8,6 +8,7 @@
 from apricothinge.mesh import documents
 from apricothinge.mesh import evacuations
 from apricothinge.mesh import names
+from apricothinge.mesh import pending
 from apricothinge.mesh import tokens
 from apricothinge.overload import crashes
 
@@ -25,6 +26,7 @@
         token_pool: Rate limit tokens of the organisations.
         crash_table: Requests suspected of crashing upstreams.
         running: Number of requests from this machine in progress.
+        pending: Requests from this machine that have no response yet.
         draining: Whether the node is shutting down.
         closed: Whether new requests from this machine are refused.
         report_due: Set when there is something to report to control.
@@ -34,8 +36,9 @@
     """
 
     __slots__ = ("names", "compiled", "token_pool", "crash_table", "running",
-                 "draining", "closed", "report_due", "metrics", "evacuations",
-                 "on_evacuations", "_configured_service", "_announced_service")
+                 "pending", "draining", "closed", "report_due", "metrics",
+                 "evacuations", "on_evacuations", "_configured_service",
+                 "_announced_service")
 
     def __init__(self, header_names: names.HeaderNames, service: str,
                  node_evacuations: evacuations.Evacuations) -> None:
@@ -46,6 +49,7 @@
         self.token_pool = tokens.TokenPool(asyncio.get_running_loop().time())
         self.crash_table = crashes.CrashTable(_CRASH_LIMIT)
         self.running = 0
+        self.pending = pending.PendingRequests()
         self.draining = False
         self.closed = False
         self.report_due = asyncio.Event()
--- a/src/apricothinge/mesh/upstream.py
+++ b/src/apricothinge/mesh/upstream.py
@@ -68,9 +68,13 @@
         body: Content of the request.
         deadline: Loop time in seconds.
         homes: Regions that the request has to stay in, or None for any.
+        attempts: Number of instances that it has been sent to.
+        instance: The instance that it was last sent to, empty for none.
+        sent_at: Loop time in seconds at which it was last sent.
     """
 
-    __slots__ = ("call", "body", "deadline", "homes")
+    __slots__ = ("call", "body", "deadline", "homes", "attempts", "instance",
+                 "sent_at")
 
     def __init__(self,
                  call: frames.Call,
@@ -81,6 +85,15 @@
         self.body = body
         self.deadline = deadline
         self.homes = homes
+        self.attempts = 0
+        self.instance = ""
+        self.sent_at = 0.0
+
+    def record_attempt(self, now: float, instance: str) -> None:
+        """Records that the request is sent to an instance."""
+        self.attempts += 1
+        self.instance = instance
+        self.sent_at = now
 
 
 class LocalUpstream:
