Add failing tests of requests that a stop leaves unanswered

Both fail on the landed logic: a request accepted 3.1 s after the stop and sent to an upstream that takes 4 s is cut at the end of the grace period of 6 s, as in the incident; one that still waits for a slot then is cut as well, though it has not run.

--- /dev/null
+++ b/tests/test_lost_at_stop.py
@@ -0,0 +1,79 @@
+"""Tests that a planned stop of a node leaves no request unanswered."""
+
+import asyncio
+
+import msgspec
+
+from tests import mesh_builders
+from tests import mesh_fleet
+from tests import test_mesh_nodes
+
+_GRACE_S = 6.0
+_SHORT_GRACE_S = 2.0
+_LONG_S = 30.0
+
+
+class LostAtStopTest(test_mesh_nodes.MeshTest):
+    """Requests that meet the stop of the node that accepts them."""
+
+    async def _start(self, grace_s, slots=100, attempts=2):
+        """Starts a node of a service "t" beside nodes of a service "s"."""
+        await self.mesh.start(
+            services=("t", "s", "s"),
+            document=mesh_builders.document(routes=[
+                mesh_builders.route(timeout_s=_LONG_S,
+                                    latency_objective_s=_LONG_S,
+                                    attempts=attempts)
+            ]))
+        node = self.mesh.nodes[0]
+        node._settings = msgspec.structs.replace(node._settings,
+                                                 grace_s=grace_s)
+        for index in (1, 2):
+            self.mesh.nodes[index].upstream.check_in(
+                mesh_builders.check_in(f"u{index}", sequence=2, slots=slots))
+        return node
+
+    def _respond_after(self, delay_s):
+
+        async def handle(head, content, writer):
+            del content
+            await asyncio.sleep(delay_s)
+            writer.write(mesh_fleet.make_answer(head))
+            return True
+
+        self._set_handler(handle)
+
+    async def _send(self, **fields):
+        """Sends a request; returns its status, None if it is cut."""
+        fields.setdefault("deadline_ms", int(_LONG_S * 1000))
+        try:
+            status, _, _ = await self.mesh.send_request(**fields)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return None
+        return status
+
+    async def test_request_taken_long_after_stop_and_cut(self):
+        """A request that can't be answered any more is refused as not run."""
+        node = await self._start(_GRACE_S)
+        self._respond_after(4.0)
+        stopping = asyncio.ensure_future(node.stop())
+        await asyncio.sleep(3.1)
+        self.assertEqual(await self._send(), 503)
+        self.assertEqual(self._request_heads(), [])
+        await stopping
+
+    async def test_request_queued_at_stop_and_cut(self):
+        """A request that waits for a slot when its node ends has not run."""
+        node = await self._start(_SHORT_GRACE_S, slots=1)
+        self._respond_after(_LONG_S)
+        running = [
+            asyncio.ensure_future(self._send(request_id=b"r%d" % number))
+            for number in range(2)
+        ]
+        await self.mesh.wait_until(lambda: len(self._request_heads()) == 2)
+        queued = asyncio.ensure_future(self._send(request_id=b"q9"))
+        await asyncio.sleep(0.1)
+        await node.stop()
+        self.assertEqual(await queued, 503)
+        self.assertEqual(await asyncio.gather(*running), [None, None])
+        self.assertNotIn(b"q9", b"".join(self._request_heads()))
