Refuse requests that a stop would cut

Cause: a draining node accepted every request for 3.2 s, however long it takes and however long ago the signal was sent when the event loop noticed it; only 2.5 s of the grace period were left then. The state of the drain was looked at once, on arrival, so a request that waited for tokens or content was sent to its upstream at any later time.

The decision is repeated right before a request is sent. The time counts from the earliest moment at which the signal can have come.

--- a/src/apricothinge/mesh/entry.py
+++ b/src/apricothinge/mesh/entry.py
@@ -35,6 +35,9 @@
 _MIN_RETRY_S: Final = 0.1
 # Another node accepts the caller's next connection.
 _DRAINING_RETRY_S: Final = 0.2
+# Response time that is assumed of a route that has not been used yet, relative
+# to its latency objective.
+_OBJECTIVE_FRACTION: Final = 0.5
 # After a start of the whole mesh, a leader of control is elected and the nodes
 # attach within this time.
 _NO_DOCUMENT_RETRY_S: Final = 1.0
@@ -93,8 +96,7 @@
                                                 error.code).inc()
             raise
         except asyncio.CancelledError:
-            pending_request.log_unanswered(self._loop.time(),
-                                           self._state.pending.stopped_at)
+            pending_request.log_unanswered(self._loop.time(), self._state.drain)
             raise
         finally:
             self._state.pending.remove(pending_request)
@@ -102,7 +104,7 @@
     def may_run_ahead(self, request: messages.Request) -> bool:
         """Returns whether a request is idempotent by its route."""
         compiled = self._state.compiled
-        if compiled is None or self._state.closed:
+        if compiled is None or self._state.draining:
             return False
         try:
             route = self._find_route(compiled, request)
@@ -118,11 +120,9 @@
             self, request: messages.Request,
             pending_request: pending.PendingRequest) -> messages.Response:
         compiled = self._current_document()
-        if self._state.closed:
-            raise errors.CallError(errors.Kind.DRAINING,
-                                   retry_after_s=_DRAINING_RETRY_S)
         route = self._find_route(compiled, request)
         organisation = self._authenticate(compiled, route, request)
+        self._check_drain(route, request)
         body = request.body
         limit = compiled.document.limits.body_bytes
         if body.length is not None and body.length > limit:
@@ -142,6 +142,8 @@
                 compiled = self._current_document()
                 route = self._find_route(compiled, request)
                 organisation = self._authenticate(compiled, route, request)
+            # The node may have been stopped while the request waited.
+            self._check_drain(route, request)
             upstream_request = self._make_upstream_request(
                 compiled, route, organisation, request,
                 pending_request.request_id)
@@ -163,6 +165,27 @@
                 self._state.token_pool.refund(charged_organisation)
             raise
 
+    def _check_drain(self, route: documents.Route,
+                     request: messages.Request) -> None:
+        """Refuses a request that a stop of this node would probably cut.
+
+        Raises:
+            errors.CallError: DRAINING.
+        """
+        stop = self._state.drain
+        if stop is None:
+            return
+        if not stop.accepts(
+                self._loop.time(), self._deadline(route, request),
+                self._expected_s(route.name, route.latency_objective_s)):
+            raise errors.CallError(errors.Kind.DRAINING,
+                                   retry_after_s=_DRAINING_RETRY_S)
+
+    def _expected_s(self, route: str, objective_s: float) -> float:
+        """Returns an upper estimate of the response time of a route."""
+        return self._state.response_times.upper_s(
+            route, objective_s * _OBJECTIVE_FRACTION)
+
     def _current_document(self) -> documents.CompiledDocument:
         compiled = self._state.compiled
         if compiled is None:
@@ -204,12 +227,9 @@
             upstream_request: upstream.UpstreamRequest) -> messages.Response:
         call = upstream_request.call
         started_at = self._loop.time()
-        self._state.running += 1
-        try:
-            response = await self._dispatcher.run(upstream_request,
-                                                  route.attempts)
-        finally:
-            self._state.running -= 1
+        response = await self._dispatcher.run(upstream_request, route.attempts)
+        took_s = self._loop.time() - started_at
+        self._state.response_times.record(call.route, took_s)
         self._state.metrics.calls.labels("entry", call.service, str(call.rank),
                                          f"{response.status // 100}xx").inc()
         log.event("request:answered",
@@ -218,7 +238,7 @@
                   service=call.service,
                   rank=call.rank,
                   status=response.status,
-                  took_s=round(self._loop.time() - started_at, 4),
+                  took_s=round(took_s, 4),
                   revision=self._state.revision)
         return response
 
--- a/src/apricothinge/mesh/node.py
+++ b/src/apricothinge/mesh/node.py
@@ -27,6 +27,7 @@
 from apricothinge.mesh import streams
 from apricothinge.mesh import token_loans
 from apricothinge.mesh import upstream
+from apricothinge.overload import drain
 from apricothinge.overload import routing
 from apricothinge.web import admin
 from apricothinge.web import client
@@ -47,14 +48,11 @@
 # upstream has spare capacity.
 _RATIO_CHANGE_THRESHOLD: Final = 0.1
 _SPARE_RATIO_CHANGE_THRESHOLD: Final = 0.5
-# Callers notice in the third second that the node is not ready. Requests that
-# arrive later could not be answered before the process ends, so they are
-# refused as not run.
+# Callers notice in the third second that the node is not ready. Until then they
+# get a response, even if it is a refusal.
 _MIN_DRAIN_S: Final = 3.2
 _DRAIN_POLL_INTERVAL_S: Final = 0.05
 _FINAL_DRAIN_S: Final = 0.2
-# The rest of the grace period is left for the process to exit.
-_GRACE_FRACTION: Final = 0.95
 
 
 class MeshNodeDump(msgspec.Struct):
@@ -392,33 +390,32 @@
     async def stop(self) -> None:
         """Stops gracefully: serves current requests and, at first, new ones.
 
-        New requests are refused after `_MIN_DRAIN_S`. Requests that still run
-        at the end of the grace period are aborted, which raises no error.
+        Requests that could not be answered before the end of the grace period
+        are refused. Those that still run then are aborted, which raises no
+        error.
         """
+        now = self._loop.time()
         # The signal may have come at any time since the loop last ran.
-        noticed_s = self._loop.time() - self._last_tick_at
+        stop = drain.Drain(min(now, self._last_tick_at), now,
+                           self._settings.grace_s)
         log.event("node:draining",
                   running=len(self.state.pending),
-                  noticed_s=round(noticed_s, 4))
-        self.state.draining = True
+                  noticed_s=round(now - stop.signalled_at, 4))
+        self.state.drain = stop
         self.state.report_due.set()
         self._caller_server.close_after_responses()
         self._send_status()
-        started_at = self._loop.time()
-        self.state.pending.stopped_at = started_at
-        deadline = started_at + self._settings.grace_s * _GRACE_FRACTION
-        while self._loop.time() < deadline:
+        while self._loop.time() < stop.cuts_at:
             await asyncio.sleep(_DRAIN_POLL_INTERVAL_S)
-            waited_s = self._loop.time() - started_at
-            self.state.closed = waited_s >= _MIN_DRAIN_S
-            idle = (not self.state.running and
+            idle = (not self.state.pending and
                     not self.incoming_calls.running and
                     not self._caller_server.busy_connections)
-            if waited_s >= _MIN_DRAIN_S and idle:
+            if idle and self._loop.time() >= now + _MIN_DRAIN_S:
                 break
+        stop.end(self._loop.time())
         log.event("node:stopped",
                   running=len(self.state.pending),
-                  waited_s=round(self._loop.time() - started_at, 4))
+                  waited_s=round(self._loop.time() - now, 4))
         await self._attachment.stop()
         if self._tick_task is not None:
             self._tick_task.cancel()
--- a/src/apricothinge/mesh/pending.py
+++ b/src/apricothinge/mesh/pending.py
@@ -4,6 +4,7 @@
 
 from apricothinge import log
 from apricothinge.mesh import upstream
+from apricothinge.overload import drain
 
 __all__ = ["PendingRequest", "PendingRequests", "Stage"]
 
@@ -35,21 +36,21 @@
         self.stage = Stage.RATE
         self.upstream_request: upstream.UpstreamRequest | None = None
 
-    def log_unanswered(self, now: float, stopped_at: float | None) -> None:
+    def log_unanswered(self, now: float, stop: drain.Drain | None) -> None:
         """Logs that the request ends without a response.
 
         Args:
             now: Loop time in seconds.
-            stopped_at: When the process was told to stop, or None if the caller
-                has gone away.
+            stop: Given if the process is being stopped.
         """
         sent = self.upstream_request
-        log.event("request:cancelled" if stopped_at is None else "request:cut",
+        log.event("request:cancelled"
+                  if stop is None or now < stop.cuts_at else "request:cut",
                   request=self.request_id,
                   stage=self.stage,
                   took_s=round(now - self.accepted_at, 4),
-                  accepted_after_stop_s=None if stopped_at is None else round(
-                      self.accepted_at - stopped_at, 4),
+                  accepted_after_stop_s=None if stop is None else round(
+                      self.accepted_at - stop.signalled_at, 4),
                   route="" if sent is None else sent.call.route,
                   service="" if sent is None else sent.call.service,
                   attempts=0 if sent is None else sent.attempts,
@@ -59,17 +60,11 @@
 
 
 class PendingRequests:
-    """The pending requests of a node.
+    """The pending requests of a node."""
 
-    Attributes:
-        stopped_at: Loop time in seconds at which the process was told to stop,
-            or None.
-    """
-
-    __slots__ = ("stopped_at", "_requests")
+    __slots__ = ("_requests",)
 
     def __init__(self) -> None:
-        self.stopped_at: float | None = None
         self._requests: set[PendingRequest] = set()
 
     def __len__(self) -> int:
--- a/src/apricothinge/mesh/state.py
+++ b/src/apricothinge/mesh/state.py
@@ -11,6 +11,7 @@
 from apricothinge.mesh import pending
 from apricothinge.mesh import tokens
 from apricothinge.overload import crashes
+from apricothinge.overload import drain
 
 __all__ = ["NodeState"]
 
@@ -25,18 +26,17 @@
         compiled: The desired state in force, or None.
         token_pool: Rate limit tokens of the organisations.
         crash_table: Requests suspected of crashing upstreams.
-        running: Number of requests from this machine in progress.
         pending: Requests from this machine that have no response yet.
-        draining: Whether the node is shutting down.
-        closed: Whether new requests from this machine are refused.
+        response_times: Response times of requests from this machine by route.
+        drain: The time left once the node is being stopped, or None before.
         report_due: Set when there is something to report to control.
         evacuations: Failure domains that operators have emptied.
         on_evacuations: Called when these have changed.
         metrics: Metrics of the node.
     """
 
-    __slots__ = ("names", "compiled", "token_pool", "crash_table", "running",
-                 "pending", "draining", "closed", "report_due", "metrics",
+    __slots__ = ("names", "compiled", "token_pool", "crash_table", "pending",
+                 "response_times", "drain", "report_due", "metrics",
                  "evacuations", "on_evacuations", "_configured_service",
                  "_announced_service")
 
@@ -48,15 +48,19 @@
         self.compiled: documents.CompiledDocument | None = None
         self.token_pool = tokens.TokenPool(asyncio.get_running_loop().time())
         self.crash_table = crashes.CrashTable(_CRASH_LIMIT)
-        self.running = 0
         self.pending = pending.PendingRequests()
-        self.draining = False
-        self.closed = False
+        self.response_times = drain.ResponseTimes()
+        self.drain: drain.Drain | None = None
         self.report_due = asyncio.Event()
         self.metrics = metrics.NodeMetrics()
         self._configured_service = service
         self._announced_service = ""
 
+    @property
+    def draining(self) -> bool:
+        """Whether the node is being stopped."""
+        return self.drain is not None
+
     @property
     def service(self) -> str:
         """The service that runs on this machine."""
--- a/tests/test_mesh_nodes.py
+++ b/tests/test_mesh_nodes.py
@@ -5,6 +5,7 @@
 from unittest import mock
 
 from apricothinge.mesh import admission_queue
+from apricothinge.overload import drain
 from apricothinge.overload import routing
 from tests import mesh_builders
 from tests import mesh_fleet
@@ -476,8 +477,8 @@
     async def test_refusal_late_in_grace_period(self):
         """Late in the grace period, requests are refused instead of aborted."""
         await self.mesh.start()
-        self.mesh.nodes[0].state.draining = True
-        self.mesh.nodes[0].state.closed = True
+        now = asyncio.get_running_loop().time()
+        self.mesh.nodes[0].state.drain = drain.Drain(now - 3.0, now, 6.0)
         self.assertEqual((await self.mesh.send_request())[0], 503)
         self.assertEqual(self._request_heads(), [])
 
