Withdraw requests that wait when their node stops

Cause: at the end of its grace period a node cut all that it had accepted, also a request that still waited for a slot beside its upstream, for a token or for its content, or whose attempt had failed and that had just been sent to another upstream. Accepting less during the drain does not help these, as they were accepted before it.

Change: a request has a time by which it has to be at an upstream, the end of the grace period less its expected response time. From then on it is not sent again, and it is withdrawn: the node beside the upstream refuses it if it still waits for a slot, and only that node can tell. What waits for a token or its content is refused by the entry. All of these get 503 as not run, or the result of the attempt that did run. A request at its upstream goes on. Nodes name in their first message that they understand the new frame, so that a fleet of two versions keeps its links.

--- a/src/apricothinge/link/connection.py
+++ b/src/apricothinge/link/connection.py
@@ -83,10 +83,12 @@
         closed: Whether the connection has ended.
         last_received_at: Loop time in seconds of the last received bytes.
         retired: Whether the link only waits for its calls to end.
+        peer_handles_withdrawals: Whether the peer understands Withdraw.
     """
 
-    __slots__ = ("peer", "closed", "last_received_at", "_handler", "_transport",
-                 "_loop", "_receive_buffer", "_send_queue", "_flush_scheduled",
+    __slots__ = ("peer", "peer_handles_withdrawals", "closed",
+                 "last_received_at", "_handler", "_transport", "_loop",
+                 "_receive_buffer", "_send_queue", "_flush_scheduled",
                  "_probe_sent_at", "_monitor", "_paused", "_writable",
                  "_last_active_at", "retired", "_awaited_replies")
 
@@ -94,6 +96,7 @@
                  monitor: "KeepaliveMonitor") -> None:
         self._loop = asyncio.get_running_loop()
         self.peer = ""
+        self.peer_handles_withdrawals = False
         self.closed = False
         self.retired = False
         self._awaited_replies = 0
@@ -161,6 +164,7 @@
             self._last_active_at = self.last_received_at
         if isinstance(message, frames.Hello):
             self.peer = message.instance
+            self.peer_handles_withdrawals = message.handles_withdrawals
         self._handler.message_received(self, message)
 
     def _protocol_error(self, detail: str) -> None:
--- a/src/apricothinge/link/frames.py
+++ b/src/apricothinge/link/frames.py
@@ -15,7 +15,7 @@
     "Hello", "Join", "Joined", "Load", "NodeRow", "Ping", "Pong", "Redirect",
     "Refusal", "Report", "ResponseHead", "Status", "Step", "StepReply",
     "TokenGrant", "TokenLoan", "TokenLoanRequest", "TokenRequest", "Update",
-    "UpstreamRow", "decode", "encode"
+    "UpstreamRow", "Withdraw", "decode", "encode"
 ]
 
 _LENGTH: Final = struct.Struct(">I")
@@ -36,11 +36,14 @@
         incarnation: Increases with each start of its process.
         known_upstream: The receiver's upstream as it last reported it to the
             sender, if that said something which a restarted receiver needs.
+        handles_withdrawals: Whether the sender understands Withdraw; earlier
+            versions do not.
     """
 
     instance: str
     incarnation: int
     known_upstream: "UpstreamRow | None" = None
+    handles_withdrawals: bool = False
 
 
 class Ping(_Message, tag=2):
@@ -131,6 +134,15 @@
     stream: int
 
 
+class Withdraw(_Message, tag=27):
+    """Asks to refuse a call if it still waits for a slot.
+
+    A call that is at the upstream already continues.
+    """
+
+    stream: int
+
+
 class ResponseHead(_Message, tag=8):
     """Start of an upstream's response; the content fields are as in Call."""
 
@@ -443,7 +455,7 @@
 Frame = Union[Hello, Ping, Pong, Call, Data, Credit, Cancel, ResponseHead,
               Refusal, Abort, Status, Attach, Redirect, Report, Update, Step,
               StepReply, Join, Joined, TokenRequest, TokenGrant, Costs,
-              StateRequest, StateOffer, TokenLoanRequest, TokenLoan]
+              StateRequest, StateOffer, TokenLoanRequest, TokenLoan, Withdraw]
 
 _ENCODER: Final = msgspec.msgpack.Encoder()
 _DECODER: Final[Any] = msgspec.msgpack.Decoder(Frame)
--- a/src/apricothinge/mesh/dispatch.py
+++ b/src/apricothinge/mesh/dispatch.py
@@ -147,14 +147,14 @@
                 may_retry = (attempts > 0 and
                              upstream_request.body.replayable and
                              self._may_run_again(upstream_request, last) and
-                             upstream_request.deadline - self._loop.time()
-                             > _MIN_REMAINING_S and
+                             self._has_time(upstream_request) and
                              budget.try_retry(height, last.may_have_run,
                                               upstream_request.call.rank))
             else:
                 refusals += 1
                 may_retry = (refusals < _MAX_REFUSALS and
-                             upstream_request.body.replayable)
+                             upstream_request.body.replayable and
+                             self._loop.time() <= upstream_request.start_by)
             if not may_retry and last.late_response is None:
                 # The result of an attempt that may have run takes precedence
                 # over a later refusal, which would falsely report that nothing
@@ -235,6 +235,12 @@
             raise errors.CallError(errors.Kind.UPSTREAM_FAILED,
                                    str(error)) from None
 
+    def _has_time(self, upstream_request: upstream.UpstreamRequest) -> bool:
+        """Returns whether another attempt could still be answered."""
+        now = self._loop.time()
+        return (now <= upstream_request.start_by and
+                upstream_request.deadline - now > _MIN_REMAINING_S)
+
     @staticmethod
     def _may_run_again(upstream_request: upstream.UpstreamRequest,
                        last: _AttemptResult) -> bool:
@@ -323,7 +329,8 @@
         if error.kind in (errors.Kind.OVERLOADED, errors.Kind.EXPIRED):
             self._router.record_refusal(target, 0.0)
         elif error.kind in (errors.Kind.CRASH_SUSPECTED,
-                            errors.Kind.CONTENT_TOO_LARGE):
+                            errors.Kind.CONTENT_TOO_LARGE,
+                            errors.Kind.DRAINING):
             self._router.record_inconclusive(target)
         elif error.kind is errors.Kind.NO_UPSTREAM:
             self._router.record_refusal(target, 0.0)
--- a/src/apricothinge/mesh/entry.py
+++ b/src/apricothinge/mesh/entry.py
@@ -35,9 +35,6 @@
 _MIN_RETRY_S: Final = 0.1
 # Another node accepts the caller's next connection.
 _DRAINING_RETRY_S: Final = 0.2
-# Response time that is assumed of a route that has not been used yet, relative
-# to its latency objective.
-_OBJECTIVE_FRACTION: Final = 0.5
 # After a start of the whole mesh, a leader of control is elected and the nodes
 # attach within this time.
 _NO_DOCUMENT_RETRY_S: Final = 1.0
@@ -83,24 +80,33 @@
         try:
             return await self._handle(request, pending_request)
         except errors.CallError as error:
-            if error.retry_after_s:
-                error.retry_after_s = self._add_jitter(error.retry_after_s)
-            log.event("request:refused" if error.not_run else "request:failed",
-                      request=request_id,
-                      target=request.target,
-                      code=error.code,
-                      detail=error.detail,
-                      retry_after_s=round(error.retry_after_s, 3),
-                      revision=self._state.revision)
-            self._state.metrics.refusals.labels("entry", "", "",
-                                                error.code).inc()
+            self._record_error(request, request_id, error)
             raise
         except asyncio.CancelledError:
+            if pending_request.consume_withdrawal():
+                withdrawal = errors.CallError(errors.Kind.DRAINING,
+                                              retry_after_s=_DRAINING_RETRY_S)
+                self._record_error(request, request_id, withdrawal)
+                raise withdrawal from None
             pending_request.log_unanswered(self._loop.time(), self._state.drain)
             raise
         finally:
             self._state.pending.remove(pending_request)
 
+    def _record_error(self, request: messages.Request, request_id: str,
+                      error: errors.CallError) -> None:
+        """Adds jitter to the retry time, and logs and counts the error."""
+        if error.retry_after_s:
+            error.retry_after_s = self._add_jitter(error.retry_after_s)
+        log.event("request:refused" if error.not_run else "request:failed",
+                  request=request_id,
+                  target=request.target,
+                  code=error.code,
+                  detail=error.detail,
+                  retry_after_s=round(error.retry_after_s, 3),
+                  revision=self._state.revision)
+        self._state.metrics.refusals.labels("entry", "", "", error.code).inc()
+
     def may_run_ahead(self, request: messages.Request) -> bool:
         """Returns whether a request is idempotent by its route."""
         compiled = self._state.compiled
@@ -148,6 +154,8 @@
                 compiled, route, organisation, request,
                 pending_request.request_id)
             pending_request.upstream_request = upstream_request
+            upstream_request.start_by = self._state.start_by(
+                upstream_request.call)
             pending_request.stage = pending.Stage.RESPONSE
             if self._state.crash_table.is_blocked(
                     self._loop.time(), upstream_request.call.fingerprint):
@@ -177,15 +185,10 @@
             return
         if not stop.accepts(
                 self._loop.time(), self._deadline(route, request),
-                self._expected_s(route.name, route.latency_objective_s)):
+                self._state.expected_s(route.name, route.latency_objective_s)):
             raise errors.CallError(errors.Kind.DRAINING,
                                    retry_after_s=_DRAINING_RETRY_S)
 
-    def _expected_s(self, route: str, objective_s: float) -> float:
-        """Returns an upper estimate of the response time of a route."""
-        return self._state.response_times.upper_s(
-            route, objective_s * _OBJECTIVE_FRACTION)
-
     def _current_document(self) -> documents.CompiledDocument:
         compiled = self._state.compiled
         if compiled is None:
--- a/src/apricothinge/mesh/node.py
+++ b/src/apricothinge/mesh/node.py
@@ -177,7 +177,9 @@
         self._router = routing.Router(node_settings.failure_domain,
                                       self._region, rng)
         self._monitor = connection.KeepaliveMonitor()
-        self.hello = frames.Hello(node_settings.instance, incarnation)
+        self.hello = frames.Hello(node_settings.instance,
+                                  incarnation,
+                                  handles_withdrawals=True)
         self._peer_table = peers.PeerTable(node_settings.instance,
                                            node_settings.failure_domain,
                                            self.hello, self._monitor,
@@ -387,6 +389,14 @@
             self._router.capacity_ratios(),
             self._local_costs.message().by_route)
 
+    def _withdraw_late_requests(self, stop: drain.Drain) -> None:
+        """Refuses what is at no upstream and can't be answered any more."""
+        now = self._loop.time()
+        for request in self.state.pending:
+            sent = request.upstream_request
+            if now > (stop.start_by(0.0) if sent is None else sent.start_by):
+                request.withdraw()
+
     async def stop(self) -> None:
         """Stops gracefully: serves current requests and, at first, new ones.
 
@@ -405,8 +415,13 @@
         self.state.report_due.set()
         self._caller_server.close_after_responses()
         self._send_status()
+        for request in self.state.pending:
+            if request.upstream_request is not None:
+                request.upstream_request.start_by = self.state.start_by(
+                    request.upstream_request.call)
         while self._loop.time() < stop.cuts_at:
             await asyncio.sleep(_DRAIN_POLL_INTERVAL_S)
+            self._withdraw_late_requests(stop)
             idle = (not self.state.pending and
                     not self.incoming_calls.running and
                     not self._caller_server.busy_connections)
--- a/src/apricothinge/mesh/pending.py
+++ b/src/apricothinge/mesh/pending.py
@@ -1,5 +1,7 @@
 """Requests of this machine that have been accepted and not answered yet."""
 
+import asyncio
+from collections.abc import Iterator
 from typing import Final
 
 from apricothinge import log
@@ -26,16 +28,38 @@
         stage: What it waits for.
         upstream_request: The request as it is sent to upstreams, or None before
             the stage RESPONSE.
+        withdrawn: Whether it is to be refused if no upstream has it.
     """
 
-    __slots__ = ("request_id", "accepted_at", "stage", "upstream_request")
+    __slots__ = ("request_id", "accepted_at", "stage", "upstream_request",
+                 "withdrawn", "_task")
 
     def __init__(self, request_id: str, accepted_at: float) -> None:
+        self.withdrawn = False
+        self._task = asyncio.current_task()
         self.request_id = request_id
         self.accepted_at = accepted_at
         self.stage = Stage.RATE
         self.upstream_request: upstream.UpstreamRequest | None = None
 
+    def withdraw(self) -> None:
+        """Has the request refused as not run unless an upstream has it."""
+        if self.withdrawn:
+            return
+        self.withdrawn = True
+        if self.upstream_request is not None:
+            self.upstream_request.withdraw()
+        elif self._task is not None:
+            self._task.cancel()
+
+    def consume_withdrawal(self) -> bool:
+        """Returns whether the handler was cancelled by `withdraw`."""
+        if not self.withdrawn or self.upstream_request is not None:
+            return False
+        if self._task is not None:
+            self._task.uncancel()
+        return True
+
     def log_unanswered(self, now: float, stop: drain.Drain | None) -> None:
         """Logs that the request ends without a response.
 
@@ -67,6 +91,10 @@
     def __init__(self) -> None:
         self._requests: set[PendingRequest] = set()
 
+    def __iter__(self) -> Iterator[PendingRequest]:
+        """Iterates over a copy, as requests end when they are withdrawn."""
+        return iter(list(self._requests))
+
     def __len__(self) -> int:
         """Returns the number of pending requests."""
         return len(self._requests)
--- a/src/apricothinge/mesh/state.py
+++ b/src/apricothinge/mesh/state.py
@@ -2,9 +2,12 @@
 
 import asyncio
 from collections.abc import Callable
+import math
+from typing import Final
 
 from apricothinge import log
 from apricothinge import metrics
+from apricothinge.link import frames
 from apricothinge.mesh import documents
 from apricothinge.mesh import evacuations
 from apricothinge.mesh import names
@@ -16,6 +19,9 @@
 __all__ = ["NodeState"]
 
 _CRASH_LIMIT: int = 3
+# Response time that is assumed of a route that has not been used yet, relative
+# to its latency objective.
+_OBJECTIVE_FRACTION: Final = 0.5
 
 
 class NodeState:
@@ -61,6 +67,26 @@
         """Whether the node is being stopped."""
         return self.drain is not None
 
+    def expected_s(self, route: str, objective_s: float) -> float:
+        """Returns an upper estimate of the response time of a route.
+
+        Args:
+            route: Name of the route.
+            objective_s: Its latency objective in seconds.
+        """
+        return self.response_times.upper_s(route,
+                                           objective_s * _OBJECTIVE_FRACTION)
+
+    def start_by(self, call: frames.Call) -> float:
+        """Returns when a request of this machine has to be at an upstream.
+
+        Infinite unless the node is being stopped; loop time in seconds.
+        """
+        if self.drain is None:
+            return math.inf
+        return self.drain.start_by(self.expected_s(call.route,
+                                                   call.objective_s))
+
     @property
     def service(self) -> str:
         """The service that runs on this machine."""
--- a/src/apricothinge/mesh/streams.py
+++ b/src/apricothinge/mesh/streams.py
@@ -302,6 +302,7 @@
             lambda size: link.send(frames.Credit(stream, size)), hedged)
         self._call_by_stream[stream] = outgoing
         link.send(_call_message(upstream_request, stream, self._loop.time()))
+        upstream_request.on_withdraw = lambda: self._withdraw(link, stream)
         if upstream_request.body.complete:
             return await self.receive(stream, outgoing)
         send_task = asyncio.ensure_future(
@@ -311,6 +312,11 @@
         finally:
             await _cancel(send_task)
 
+    @staticmethod
+    def _withdraw(link: connection.Link, stream: int) -> None:
+        if link.peer_handles_withdrawals and not link.closed:
+            link.send(frames.Withdraw(stream))
+
     async def receive(self, stream: int,
                       outgoing: _OutgoingCall) -> messages.Response:
         """Waits for the response to a call; see `call`."""
@@ -416,9 +422,10 @@
 class _IncomingCall:
     """State of a call at the node of the called upstream."""
 
-    __slots__ = ("task", "reader", "window")
+    __slots__ = ("task", "reader", "window", "upstream_request")
 
     def __init__(self, on_read: Callable[[int], None]) -> None:
+        self.upstream_request: upstream.UpstreamRequest | None = None
         self.task: asyncio.Task[None] | None = None
         self.reader = _ContentReader(on_read)
         self.window = _SendWindow()
@@ -473,9 +480,8 @@
         if isinstance(message, frames.Call):
             self._start_call(link, by_stream, message)
             return
-        if not isinstance(
-                message,
-            (frames.Data, frames.Credit, frames.Cancel, frames.Abort)):
+        if not isinstance(message, (frames.Data, frames.Credit, frames.Cancel,
+                                    frames.Abort, frames.Withdraw)):
             return
         incoming = by_stream.get(message.stream)
         if incoming is None:
@@ -486,6 +492,9 @@
             incoming.window.add(message.size)
         elif isinstance(message, frames.Abort):
             incoming.reader.fail("the request content ended early")
+        elif isinstance(message, frames.Withdraw):
+            if incoming.upstream_request is not None:
+                incoming.upstream_request.withdraw()
         elif incoming.task is not None:
             incoming.window.close()
             incoming.task.cancel()
@@ -504,6 +513,7 @@
             call, body,
             self._loop.time() + call.remaining_s -
             self._pause_clock.input_age_s())
+        incoming.upstream_request = upstream_request
         incoming.task = asyncio.ensure_future(
             self._run(link, incoming, upstream_request))
 
--- a/src/apricothinge/mesh/upstream.py
+++ b/src/apricothinge/mesh/upstream.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import collections
+from collections.abc import Callable
+import math
 from typing import Final
 
 from apricothinge import errors
@@ -31,6 +33,8 @@
 # Content that is still arriving is delivered past the deadline, but silence of
 # this many seconds after it ends the response.
 _MAX_LATE_STALL_S: Final = 1.0
+# Another node accepts the next connection of a caller whose node is stopped.
+_WITHDRAWN_RETRY_S: Final = 0.2
 
 
 class CheckIn:
@@ -71,10 +75,13 @@
         attempts: Number of instances that it has been sent to.
         instance: The instance that it was last sent to, empty for none.
         sent_at: Loop time in seconds at which it was last sent.
+        start_by: Loop time in seconds after which no attempt begins.
+        on_withdraw: Refuses the current attempt if it still waits for a slot,
+            or None if there is none that can be refused.
     """
 
     __slots__ = ("call", "body", "deadline", "homes", "attempts", "instance",
-                 "sent_at")
+                 "sent_at", "start_by", "on_withdraw")
 
     def __init__(self,
                  call: frames.Call,
@@ -88,6 +95,13 @@
         self.attempts = 0
         self.instance = ""
         self.sent_at = 0.0
+        self.start_by = math.inf
+        self.on_withdraw: Callable[[], None] | None = None
+
+    def withdraw(self) -> None:
+        """Refuses the request as not run unless it is at an upstream."""
+        if self.on_withdraw is not None:
+            self.on_withdraw()
 
     def record_attempt(self, now: float, instance: str) -> None:
         """Records that the request is sent to an instance."""
@@ -328,7 +342,8 @@
         """
         call = upstream_request.call
         latest = self._check_in
-        if latest is None or not self._usable or latest.service != call.service:
+        if (latest is None or not self._usable or
+                latest.service != call.service):
             raise errors.CallError(
                 errors.Kind.NO_UPSTREAM,
                 f"no usable upstream of {call.service} on this node")
@@ -413,6 +428,7 @@
             return
         waiter: asyncio.Future[bool] = self._loop.create_future()
         ticket.waiter = waiter
+        upstream_request.on_withdraw = lambda: self._withdraw(ticket)
         if self._queue_timer is None:
             self._queue_timer = self._loop.call_later(_QUEUE_CHECK_INTERVAL_S,
                                                       self._check_queue)
@@ -424,6 +440,8 @@
                 self.process_queue()
             self._queue.cancel(ticket)
             raise
+        finally:
+            upstream_request.on_withdraw = None
         if not admitted:
             raise errors.CallError(
                 errors.Kind.OVERLOADED
@@ -433,6 +451,19 @@
                     self._queue.hold_s,
                     self._queue.expected_wait_s(self._loop.time(), rank)))
 
+    def _withdraw(self, ticket: admission_queue.Ticket) -> None:
+        """Refuses a request unless a slot has been taken for it."""
+        if not ticket.waiting:
+            return
+        self._queue.cancel(ticket)
+        waiter = ticket.waiter
+        assert isinstance(waiter, asyncio.Future)
+        if not waiter.done():
+            waiter.set_exception(
+                errors.CallError(errors.Kind.DRAINING,
+                                 "withdrawn by a node that is being stopped",
+                                 retry_after_s=_WITHDRAWN_RETRY_S))
+
     def _release(self, started_at: float) -> None:
         self._queue.release(self._loop.time() - started_at)
         self.process_queue()
--- a/src/apricothinge/overload/drain.py
+++ b/src/apricothinge/overload/drain.py
@@ -15,6 +15,8 @@
 _ACCEPT_FRACTION: Final = 0.5
 # The rest of the grace period is left for the process to exit.
 _GRACE_FRACTION: Final = 0.95
+# A refusal may have to come from another node first.
+_MIN_EXPECTED_S: Final = 0.25
 # An upstream that enforces the deadline itself responds shortly after it.
 _RESPONSE_SLACK_S: Final = 0.1
 _GAIN: Final = 0.1
@@ -64,7 +66,7 @@
 
     def start_by(self, expected_s: float) -> float:
         """Returns the latest time to send a request to an upstream."""
-        return self._ends_at - expected_s
+        return self._ends_at - max(expected_s, _MIN_EXPECTED_S)
 
     def end(self, now: float) -> None:
         """Ends the drain early; no further request is taken on."""
--- a/tests/test_lost_at_stop.py
+++ b/tests/test_lost_at_stop.py
@@ -77,3 +77,38 @@
         self.assertEqual(await queued, 503)
         self.assertEqual(await asyncio.gather(*running), [None, None])
         self.assertNotIn(b"q9", b"".join(self._request_heads()))
+
+    async def test_content_incomplete_at_stop_and_cut(self):
+        """A request whose content is not complete in time is refused."""
+        node = await self._start(_SHORT_GRACE_S)
+        reader, writer = await self.mesh.connect()
+        request = mesh_fleet.make_request(method="POST", content=b"x" * 100)
+        writer.write(request[:-50])
+        await asyncio.sleep(0.1)
+        stopping = asyncio.ensure_future(node.stop())
+        status, _, _ = await mesh_fleet.read_answer(reader)
+        self.assertEqual(status, 503)
+        self.assertEqual(self._request_heads(), [])
+        writer.close()
+        await stopping
+
+    async def test_request_sent_again_at_stop_and_cut(self):
+        """Late in a stop, a failed request is not sent to another upstream."""
+        node = await self._start(_SHORT_GRACE_S)
+        self._respond_after(0.01)
+        await self._send()
+
+        async def fail(head, content, writer):
+            del content
+            if len(self._request_heads()) > 2:
+                await asyncio.sleep(_LONG_S)
+            await asyncio.sleep(1.8)
+            writer.write(
+                mesh_fleet.make_answer(head, status=b"500 Server Error"))
+            return True
+
+        self._set_handler(fail)
+        sending = asyncio.ensure_future(self._send(request_id=b"q2"))
+        await self.mesh.wait_until(lambda: len(self._request_heads()) == 2)
+        await node.stop()
+        self.assertEqual(await sending, 500)
