Refuse calls that wait beside the upstream of a stopping node

Cause: a node that stops finished its grace period with calls of other entries still queued beside its upstream. The end of the link failed them all with an unknown outcome, so requests that may run only once were not sent elsewhere, though they had never run.

Change: once a queued call could not be finished in time, the node refuses all that wait and later ones as not run, and their entries go on to other instances. Calls at the upstream go on.

--- a/src/apricothinge/mesh/node.py
+++ b/src/apricothinge/mesh/node.py
@@ -396,6 +396,8 @@
             sent = request.upstream_request
             if now > (stop.start_by(0.0) if sent is None else sent.start_by):
                 request.withdraw()
+        if now > stop.start_by(self.upstream.hold_s):
+            self.upstream.refuse_waiting()
 
     async def stop(self) -> None:
         """Stops gracefully: serves current requests and, at first, new ones.
--- a/src/apricothinge/mesh/upstream.py
+++ b/src/apricothinge/mesh/upstream.py
@@ -125,7 +125,7 @@
                  "_deregistered_ids", "_probe_task", "_crash_table", "_metrics",
                  "_incarnation", "_crash_count", "_local_costs",
                  "_load_feedback", "_announcements", "_evacuated",
-                 "_queue_timer", "_rejection_meter")
+                 "_queue_timer", "_rejection_meter", "_stopped")
 
     def __init__(self, address: settings.Address,
                  header_names: names.HeaderNames, pool: client.ConnectionPool,
@@ -144,6 +144,7 @@
         self._load_feedback = load_feedback.LoadFeedback(self._loop.time())
         self._check_in: CheckIn | None = None
         self._usable = False
+        self._stopped = False
         self._deregistered_ids: collections.deque[str] = collections.deque(
             maxlen=64)
         self._probe_task: asyncio.Task[None] | None = None
@@ -162,6 +163,21 @@
         """Service named in the latest check-in; empty before the first."""
         return "" if self._check_in is None else self._check_in.service
 
+    @property
+    def hold_s(self) -> float:
+        """Average time in seconds that a request holds a slot."""
+        return self._queue.hold_s
+
+    def refuse_waiting(self) -> None:
+        """Refuses the requests that wait for a slot, and all later ones.
+
+        Called when the node is being stopped, so that their entries can send
+        them elsewhere in time.
+        """
+        self._stopped = True
+        for ticket in self._queue.pop_all():
+            _resolve(ticket, False)
+
     def row(self) -> frames.UpstreamRow | None:
         """Returns the upstream as published to other nodes."""
         latest = self._check_in
@@ -342,7 +358,7 @@
         """
         call = upstream_request.call
         latest = self._check_in
-        if (latest is None or not self._usable or
+        if (latest is None or not self._usable or self._stopped or
                 latest.service != call.service):
             raise errors.CallError(
                 errors.Kind.NO_UPSTREAM,
@@ -444,8 +460,8 @@
             upstream_request.on_withdraw = None
         if not admitted:
             raise errors.CallError(
-                errors.Kind.OVERLOADED
-                if self._usable else errors.Kind.NO_UPSTREAM,
+                errors.Kind.OVERLOADED if self._usable and not self._stopped
+                else errors.Kind.NO_UPSTREAM,
                 # An empty queue does not mean that there is room.
                 retry_after_s=max(
                     self._queue.hold_s,
--- a/tests/test_lost_at_stop.py
+++ b/tests/test_lost_at_stop.py
@@ -112,3 +112,34 @@
         await self.mesh.wait_until(lambda: len(self._request_heads()) == 2)
         await node.stop()
         self.assertEqual(await sending, 500)
+
+    async def test_call_queued_at_stopped_node_and_cut(self):
+        """A call that waits beside a stopping node's upstream goes elsewhere."""
+        await self._start(_SHORT_GRACE_S)
+        stopped = self.mesh.nodes[1]
+        stopped._settings = msgspec.structs.replace(stopped._settings,
+                                                    grace_s=_SHORT_GRACE_S)
+        stopped.upstream.check_in(
+            mesh_builders.check_in("u1", sequence=3, slots=1))
+
+        async def hang(head, content, writer):
+            del head, content, writer
+            await asyncio.sleep(_LONG_S)
+
+        self.mesh.upstreams[1].handler = hang
+        self.mesh.nodes[2].upstream.deregister("u2", None)
+        await self.mesh.wait_until(
+            lambda: self.mesh.nodes[0]._router.by_instance["n2"].draining)
+        running = asyncio.ensure_future(self._send())
+        await self.mesh.wait_until(lambda: len(self._request_heads()) == 1)
+        queued = asyncio.ensure_future(
+            self._send(method="POST", request_id=b"q2"))
+        await asyncio.sleep(0.1)
+        self.mesh.nodes[2].upstream.check_in(
+            mesh_builders.check_in("u3", born=2000, slots=100))
+        await self.mesh.wait_until(
+            lambda: not self.mesh.nodes[0]._router.by_instance["n2"].draining)
+        await stopped.stop()
+        self.assertEqual(await queued, 200)
+        self.assertIn(b"q2", self.mesh.upstreams[2].request_heads[0])
+        running.cancel()
