Handle signals before a process of a mesh listens

The handlers of SIGTERM, SIGINT and SIGHUP were installed only after a node or control instance had opened all its ports and run a first garbage collection. Until then the default action of each of them ended the process at once, SIGHUP included, and cut every request that it had accepted.

Install the handlers before anything listens. A process that is told to stop while it starts finishes starting and then stops gracefully; one that is told to reload goes on.

--- a/src/apricothinge/platform/control_process.py
+++ b/src/apricothinge/platform/control_process.py
@@ -14,6 +14,7 @@
 async def run(settings_file: host.SettingsFile,
               control_settings: settings.MeshControl) -> None:
     """Runs a control instance until it is told to stop or its disk fails."""
+    signals = host.Signals()
     mesh_control = control.MeshControl(control_settings, time.time_ns() // 1000)
     await mesh_control.start()
     port = settings.parse_address(control_settings.operator).port
@@ -26,7 +27,7 @@
         if changed.mesh_control is not None:
             mesh_control.add_seeds(changed.mesh_control.control_links())
 
-    await host.reload_until_stopped(settings_file, add_changed_seeds,
+    await host.reload_until_stopped(signals, settings_file, add_changed_seeds,
                                     mesh_control.failed)
     http_server.abort()
     await mesh_control.stop()
--- a/src/apricothinge/platform/host.py
+++ b/src/apricothinge/platform/host.py
@@ -11,7 +11,7 @@
 from apricothinge import settings
 from apricothinge.web import server
 
-__all__ = ["SettingsFile", "reload_until_stopped", "start_server"]
+__all__ = ["SettingsFile", "Signals", "reload_until_stopped", "start_server"]
 
 # The platform may change the settings file without sending SIGHUP, so its
 # modification time is polled.
@@ -57,27 +57,50 @@
     return http_server
 
 
-async def reload_until_stopped(settings_file: SettingsFile,
+class Signals:
+    """Signals of the process; created before the process starts to listen.
+
+    Until then, the default action of SIGTERM, SIGINT and SIGHUP ends the
+    process without answers to the requests that it has accepted.
+
+    Attributes:
+        stopped: Done once SIGTERM or SIGINT has been received. Further ones
+            have no effect.
+        reload_requested: Whether SIGHUP has been received since it was reset.
+    """
+
+    __slots__ = ("stopped", "reload_requested")
+
+    def __init__(self) -> None:
+        loop = asyncio.get_running_loop()
+        self.stopped: asyncio.Future[None] = loop.create_future()
+        self.reload_requested = False
+        for signal_number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(signal_number, self._stop)
+        loop.add_signal_handler(signal.SIGHUP, self._request_reload)
+
+    def _stop(self) -> None:
+        if not self.stopped.done():
+            self.stopped.set_result(None)
+
+    def _request_reload(self) -> None:
+        self.reload_requested = True
+
+
+async def reload_until_stopped(signals: Signals, settings_file: SettingsFile,
                                apply_settings: Callable[[settings.Settings],
                                                         None],
                                failed: "asyncio.Future[Any]") -> None:
     """Reads changed settings until SIGTERM or SIGINT, or `failed` is done."""
-    loop = asyncio.get_running_loop()
-    stop = asyncio.Event()
-    reload_requested = asyncio.Event()
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, reload_requested.set)
-    stopped = asyncio.ensure_future(stop.wait())
-    while not stopped.done() and not failed.done():
-        await asyncio.wait((stopped, failed),
+    while not signals.stopped.done() and not failed.done():
+        await asyncio.wait((signals.stopped, failed),
                            timeout=_POLL_INTERVAL_S,
                            return_when=asyncio.FIRST_COMPLETED)
         changed = settings_file.read_if_changed()
-        if changed is not None or reload_requested.is_set():
+        if changed is not None or signals.reload_requested:
             log.event("settings:reloaded",
-                      signal=reload_requested.is_set(),
+                      signal=signals.reload_requested,
                       changed=changed is not None)
-            reload_requested.clear()
+            signals.reload_requested = False
         if changed is not None:
             apply_settings(changed)
--- a/src/apricothinge/platform/node_process.py
+++ b/src/apricothinge/platform/node_process.py
@@ -15,6 +15,7 @@
 async def run(settings_file: host.SettingsFile,
               node_settings: settings.MeshNode) -> None:
     """Runs a node until it is told to stop."""
+    signals = host.Signals()
     mesh_node = node.MeshNode(node_settings, wire.HEADER_NAMES)
     await mesh_node.start()
     servers = [
@@ -31,7 +32,7 @@
 
     never_fails: asyncio.Future[None] = asyncio.get_running_loop(
     ).create_future()
-    await host.reload_until_stopped(settings_file, add_changed_seeds,
+    await host.reload_until_stopped(signals, settings_file, add_changed_seeds,
                                     never_fails)
     await mesh_node.stop()
     for http_server in servers:
