Keep running when changed settings name an invalid seed

The seeds of a mesh are parsed where they are used, after the settings file has been validated. An invalid address in a changed file therefore raised a ValueError out of the loop that waits for signals, and the process ended at once with exit code 1 and cut its requests; at SIGTERM too, as the file was read once more after the signal.

Log such settings and keep the ones in use. Settings are no longer read after the signal to stop, so that the stop begins at once.

The new test, a real node and SIGHUP, failed before with 'AssertionError: 1 is not None' (the exit code), and passes now.

--- a/src/apricothinge/platform/host.py
+++ b/src/apricothinge/platform/host.py
@@ -92,15 +92,22 @@
                                                         None],
                                failed: "asyncio.Future[Any]") -> None:
     """Reads changed settings until SIGTERM or SIGINT, or `failed` is done."""
-    while not signals.stopped.done() and not failed.done():
+    while True:
         await asyncio.wait((signals.stopped, failed),
                            timeout=_POLL_INTERVAL_S,
                            return_when=asyncio.FIRST_COMPLETED)
+        if signals.stopped.done() or failed.done():
+            return
         changed = settings_file.read_if_changed()
         if changed is not None or signals.reload_requested:
             log.event("settings:reloaded",
                       signal=signals.reload_requested,
                       changed=changed is not None)
             signals.reload_requested = False
-        if changed is not None:
+        if changed is None:
+            continue
+        try:
             apply_settings(changed)
+        except ValueError as error:
+            # Addresses of a mesh are parsed only where they are used.
+            log.event("settings:not_applied", error=str(error))
--- a/tests/test_mesh_signals.py
+++ b/tests/test_mesh_signals.py
@@ -1,6 +1,9 @@
 """Tests of the signals that the processes of a mesh receive."""
 
 import signal
+import time
+
+import msgspec
 
 from tests import mesh_processes
 
@@ -27,3 +30,22 @@
         process.send_signal(signal.SIGHUP)
         process.send_signal(signal.SIGTERM)
         self.assertEqual(0, process.wait(mesh_processes.TIMEOUT_S))
+
+
+class SettingsTest(mesh_processes.MeshProcessCase):
+    """A node whose settings file changes to what it can't use."""
+
+    def test_invalid_seed_ends_process(self):
+        """A node goes on with its seeds, also if it reads the file at a stop."""
+        node_settings = self.node_settings()
+        process = self.start(node_settings)
+        mesh_processes.connect(node_settings.readiness).close()
+        time.sleep(0.2)
+        changed = msgspec.structs.replace(node_settings, seeds=["nobody:1"])
+        self.write_settings(changed)
+        process.send_signal(signal.SIGHUP)
+        time.sleep(1.2)
+        self.assertIsNone(process.poll())
+        self.write_settings(changed)
+        process.send_signal(signal.SIGTERM)
+        self.assertEqual(0, process.wait(mesh_processes.TIMEOUT_S))
