Answer orders in progress before a control instance stops

At SIGTERM a control instance aborted the connections of operators first. An order that was being replicated got no answer, although it was committed or refused a moment later, and its operator could not tell whether it was taken.

Refuse new calls with 503 as not run, go on leading until those in progress have ended, and only then leave the group. Each call ends by itself within the 3 s of a proposal, so that a stop stays within the grace period. An instance without calls in progress leaves as soon as before.

Measured with three real processes, the followers suspended while an order is sent to the leader and the leader gets SIGTERM: before, the order got an empty answer (b'') and a new order met a closed port; now the order gets 200 once the followers go on, or 503 without 'not run' if they do not, and a new order gets 503 as not run.

--- a/src/apricothinge/mesh/control.py
+++ b/src/apricothinge/mesh/control.py
@@ -1,6 +1,8 @@
 """The process of a control instance of a mesh."""
 
 import asyncio
+from collections.abc import Iterator
+import contextlib
 import pathlib
 from typing import Final
 import zlib
@@ -38,6 +40,7 @@
 _MAX_QUORUM_AGE_S: Final = 1.0
 _READ_TIMEOUT_S: Final = 1.0
 _READ_POLL_INTERVAL_S: Final = 0.01
+_DRAIN_POLL_INTERVAL_S: Final = 0.01
 
 
 class _Identity(msgspec.Struct):
@@ -147,6 +150,8 @@
         self._member_change_task: asyncio.Task[None] | None = None
         self._join_task: asyncio.Task[None] | None = None
         self._document_revision = -1
+        self._draining = False
+        self._operations = 0
         self.metrics = metrics.ControlMetrics()
         self._admin_server = server.Server(
             admin.AdminHandler(self._render_metrics, self.dump),
@@ -236,6 +241,19 @@
                   link=str(self.link),
                   revision=self.state_machine.revision)
 
+    async def drain(self) -> None:
+        """Refuses new calls of operators and waits for those in progress.
+
+        Each of them ends within the timeout of a proposal. The instance goes on
+        leading, as they need it to.
+        """
+        self._draining = True
+        log.event("control:draining",
+                  instance=self._settings.instance,
+                  operations=self._operations)
+        while self._operations and not self.failed.done():
+            await asyncio.sleep(_DRAIN_POLL_INTERVAL_S)
+
     async def stop(self) -> None:
         """Stops the background tasks, the Raft group and the servers."""
         for task in self._tasks:
@@ -473,6 +491,19 @@
 
     # Operator API.
 
+    @contextlib.contextmanager
+    def _operation(self) -> Iterator[None]:
+        """Counts a call of an operator, so that `drain` waits for its end."""
+        if not self.group_member.is_leader:
+            raise errors.ApricothingeError(errors.Kind.NOT_LEADER)
+        if self._draining:
+            raise errors.ApricothingeError(errors.Kind.DRAINING)
+        self._operations += 1
+        try:
+            yield
+        finally:
+            self._operations -= 1
+
     async def replace(self, change_id: bytes, base: int,
                       document: documents.Document, text: bytes) -> None:
         """Replaces the desired state.
@@ -484,15 +515,15 @@
             text: The new desired state as sent by the operator.
 
         Raises:
-            errors.ApricothingeError: NOT_LEADER; VERSION_CONFLICT;
+            errors.ApricothingeError: NOT_LEADER; DRAINING; VERSION_CONFLICT;
                 CONFIGURATION_INVALID if the version is not above the current
                 one; UNREACHABLE if the outcome is unknown.
         """
-        if not self.group_member.is_leader:
-            raise errors.ApricothingeError(errors.Kind.NOT_LEADER)
-        outcome: machine.Outcome = await self.group_member.propose(
-            machine.Replace(change_id, base, document.version,
-                            zlib.compress(text, 1), documents.pack(document)))
+        with self._operation():
+            outcome: machine.Outcome = await self.group_member.propose(
+                machine.Replace(change_id, base, document.version,
+                                zlib.compress(text, 1),
+                                documents.pack(document)))
         log.event("state:change",
                   base=base,
                   version=document.version,
@@ -513,9 +544,9 @@
         """Starts or ends the evacuation of a failure domain.
 
         Raises:
-            errors.ApricothingeError: NOT_LEADER; CONFIGURATION_INVALID if the
-                failure domain is unknown; UNREACHABLE if the outcome is
-                unknown.
+            errors.ApricothingeError: NOT_LEADER; DRAINING;
+                CONFIGURATION_INVALID if the failure domain is unknown;
+                UNREACHABLE if the outcome is unknown.
         """
         known = self._settings.failure_domains
         if known and failure_domain not in known:
@@ -523,10 +554,9 @@
                 errors.Kind.CONFIGURATION_INVALID,
                 f"failure domain: found {failure_domain!r}, expected one of"
                 f" {known}")
-        if not self.group_member.is_leader:
-            raise errors.ApricothingeError(errors.Kind.NOT_LEADER)
-        await self.group_member.propose(machine.Evacuate(
-            failure_domain, active))
+        with self._operation():
+            await self.group_member.propose(
+                machine.Evacuate(failure_domain, active))
         log.event("evacuation:change",
                   domain=failure_domain,
                   active=active,
@@ -537,10 +567,14 @@
         """Returns the current desired state as sent by the operator.
 
         Raises:
-            errors.ApricothingeError: NOT_LEADER; UNREACHABLE if there is no
-                desired state yet, or no quorum confirms in time that this
+            errors.ApricothingeError: NOT_LEADER; DRAINING; UNREACHABLE if there
+                is no desired state yet, or no quorum confirms in time that this
                 instance still leads.
         """
+        with self._operation():
+            return await self._read()
+
+    async def _read(self) -> bytes:
         asked_at = self._loop.time()
         while self.group_member.is_leader:
             now = self._loop.time()
--- a/src/apricothinge/platform/control_process.py
+++ b/src/apricothinge/platform/control_process.py
@@ -1,6 +1,9 @@
 """The process of a control instance on the platform."""
 
+import asyncio
+import contextlib
 import time
+from typing import Final
 
 from apricothinge import runtime
 from apricothinge import settings
@@ -10,6 +13,10 @@
 
 __all__ = ["run"]
 
+# For operators that receive a response or have just sent a request; the group
+# has no other leader until the process ends.
+_FINAL_DRAIN_S: Final = 0.2
+
 
 async def run(settings_file: host.SettingsFile,
               control_settings: settings.MeshControl) -> None:
@@ -29,5 +36,10 @@
 
     await host.reload_until_stopped(signals, settings_file, add_changed_seeds,
                                     mesh_control.failed)
+    http_server.close_after_responses()
+    await mesh_control.drain()
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(_FINAL_DRAIN_S):
+            await http_server.drain()
     http_server.abort()
     await mesh_control.stop()
--- a/tests/mesh_processes.py
+++ b/tests/mesh_processes.py
@@ -116,3 +116,21 @@
             "grace_s": 6.0
         }
         return settings.MeshNode(**(defaults | fields))
+
+    @staticmethod
+    def control_settings(folder, count):
+        """Builds settings of a group of control instances."""
+        link_port, operator_port, admin_port = free_ports(3)
+        hosts = [f"127.0.0.{index + 1}" for index in range(count)]
+        return [
+            settings.MeshControl(
+                instance=f"c{index}",
+                failure_domain="abc"[index],
+                link=f"{host}:{link_port}",
+                operator=f"{host}:{operator_port}",
+                admin=f"{host}:{admin_port}",
+                data=str(folder / f"c{index}"),
+                seeds=[f"{seed}:{operator_port}" for seed in hosts],
+                control_link_port=link_port,
+                bootstrap=True) for index, host in enumerate(hosts)
+        ]
