End the wait for tokens when the link to the leader ends

A request that had asked the leader for tokens waited for the whole timeout of 0.15 s although the link was gone and no reply could arrive: at a stop of the leader, and at the end of the node itself, where only 0.2 s are left for such a request to be answered before its connection is closed. A request that came after the node had attached again could even join the wait for a reply of the old leader.

End all waits for replies with the link. The request goes on at once with tokens of other nodes, or is refused as not run.

The new tests, with a timeout of 60 s in its place, failed before with TimeoutError after 5 s and pass now.

--- a/src/apricothinge/mesh/attachment.py
+++ b/src/apricothinge/mesh/attachment.py
@@ -170,6 +170,7 @@
         finally:
             link.abort()
             self._link = None
+            self._end_token_requests()
 
     def _make_report(self) -> frames.Report:
         self._sequence += 1
@@ -222,6 +223,14 @@
             del self._token_request_by_name[name]
         return False
 
+    def _end_token_requests(self) -> None:
+        """Ends all waits for replies, which can't arrive any more."""
+        token_requests = self._token_request_by_name
+        self._token_request_by_name = {}
+        for token_request in token_requests.values():
+            if not token_request.done():
+                token_request.set_result(False)
+
     # Callbacks of the link.
 
     def link_opened(self, link: connection.Link) -> None:
--- a/tests/test_control_stop.py
+++ b/tests/test_control_stop.py
@@ -1,12 +1,17 @@
 """Tests of orders of operators that meet the stop of a control instance."""
 
+import asyncio
 import signal
 import threading
 import time
+from unittest import mock
 
+from apricothinge.mesh import attachment
+from apricothinge.mesh import control
 from apricothinge.platform import wire
 from tests import mesh_builders
 from tests import mesh_processes
+from tests import test_mesh_nodes
 
 _GRACE_S = 6.0
 
@@ -80,3 +85,33 @@
         sender.join()
         self.assertEqual(self.answers[0][:12], b"HTTP/1.1 503")
         self.assertNotIn(b"apricothinge-not-run", self.answers[0])
+
+
+class TokenRequestTest(test_mesh_nodes.MeshTest):
+    """Requests that wait for tokens from a leader that does not reply."""
+
+    async def _wait_for_tokens(self, end):
+        """Calls `end` while a request waits; returns what it brought."""
+        await self.mesh.start()
+        node_attachment = self.mesh.nodes[0]._attachment
+        await self.mesh.wait_until(lambda: node_attachment.attached_to)
+        with mock.patch.object(attachment, "_TOKEN_REQUEST_TIMEOUT_S", 60.0), \
+                mock.patch.object(control.MeshControl, "_is_confirmed_leader",
+                                  lambda _: False):
+            waiting = asyncio.ensure_future(node_attachment.request_tokens("o"))
+            await asyncio.sleep(0.05)
+            await end(node_attachment)
+            return await asyncio.wait_for(waiting, 5.0)
+
+    async def test_token_request_outlasts_link(self):
+        """The end of the link to the leader ends the wait."""
+
+        async def lose_link(node_attachment):
+            node_attachment._link.abort()
+
+        self.assertFalse(await self._wait_for_tokens(lose_link))
+
+    async def test_token_request_outlasts_attachment(self):
+        """The stop of the node's link to control ends the wait."""
+        self.assertFalse(await
+                         self._wait_for_tokens(attachment.Attachment.stop))
