--- /dev/null
+++ b/tests/test_mesh_signals.py
@@ -0,0 +1,51 @@
+"""Tests of the signals that the processes of a mesh receive."""
+
+import signal
+import time
+
+import msgspec
+
+from tests import mesh_processes
+
+
+class StartTest(mesh_processes.MeshProcessCase):
+    """A node that receives a signal while it starts."""
+
+    def _start_listening(self):
+        """Starts a node; returns as soon as its caller port listens."""
+        node_settings = self.node_settings()
+        process = self.start(node_settings)
+        mesh_processes.connect(node_settings.caller).close()
+        return process
+
+    def test_stop_during_start_cuts_requests(self):
+        """A node that listens already stops as it does later."""
+        process = self._start_listening()
+        process.send_signal(signal.SIGTERM)
+        self.assertEqual(0, process.wait(mesh_processes.TIMEOUT_S))
+
+    def test_reload_during_start_ends_process(self):
+        """SIGHUP, then SIGTERM: the node goes on, and then stops as usual."""
+        process = self._start_listening()
+        process.send_signal(signal.SIGHUP)
+        process.send_signal(signal.SIGTERM)
+        self.assertEqual(0, process.wait(mesh_processes.TIMEOUT_S))
+
+
+class SettingsTest(mesh_processes.MeshProcessCase):
+    """A node whose settings file changes to what it can't use."""
+
+    def test_invalid_seed_ends_process(self):
+        """A node goes on with its seeds, also if it reads the file at a stop."""
+        node_settings = self.node_settings()
+        process = self.start(node_settings)
+        mesh_processes.connect(node_settings.readiness).close()
+        time.sleep(0.2)
+        changed = msgspec.structs.replace(node_settings, seeds=["nobody:1"])
+        self.write_settings(changed)
+        process.send_signal(signal.SIGHUP)
+        time.sleep(1.2)
+        self.assertIsNone(process.poll())
+        self.write_settings(changed)
+        process.send_signal(signal.SIGTERM)
+        self.assertEqual(0, process.wait(mesh_processes.TIMEOUT_S))
