Answer requests that arrive as an idle connection is closed

Cause: a drain closed each connection whose session had not run since it waited for input. If the input had been read in the same turn of the event loop, its request was handed to the handler and the connection closed under it; if it was still in the socket, closing caused a reset.

Change: a drain passes over connections with unread input, in memory or in the socket, and looks again until all sessions have ended.

Both tests failed before: a request read in the turn of the drain got no response ([] instead of [200]), one that waited in the socket ended with ConnectionResetError. A request whose content arrives during the drain was served before as well; its test stays as a guard. test_server, test_node and test_pipelining pass (29 tests with the new ones).

--- a/src/apricothinge/web/server.py
+++ b/src/apricothinge/web/server.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Coroutine
 import contextlib
 import math
+import select
 from typing import Any, Final
 
 import eliot
@@ -21,6 +22,7 @@
 __all__ = ["Handler", "Server", "error_response"]
 
 _TIMEOUT_SWEEP_INTERVAL_S: Final = 0.25
+_IDLE_CHECK_INTERVAL_S: Final = 0.05
 _LINGER_TIMEOUT_S: Final = 2.0
 _MAX_LINGER_BYTES: Final = 4 << 20
 
@@ -174,10 +176,28 @@
             await self._listener.wait_closed()
         if idle_grace_s and self._sessions:
             await asyncio.wait(list(self._sessions), timeout=idle_grace_s)
-        for conn in list(self._idle_connections):
-            conn.close()
         while self._sessions:
-            await asyncio.wait(list(self._sessions))
+            self._close_idle_connections()
+            await asyncio.wait(list(self._sessions),
+                               timeout=_IDLE_CHECK_INTERVAL_S)
+
+    def _close_idle_connections(self) -> None:
+        """Closes the idle connections on which no request has arrived."""
+        poller = select.poll()
+        conn_by_descriptor: dict[int, connection.Connection] = {}
+        for conn in self._idle_connections:
+            # A session does not run at once when input arrives.
+            if conn.transport is None or conn.has_unread_input():
+                continue
+            descriptor = conn.transport.get_extra_info("socket").fileno()
+            if descriptor >= 0:
+                conn_by_descriptor[descriptor] = conn
+                poller.register(descriptor, select.POLLIN)
+        for descriptor, _ in poller.poll(0):
+            # The event loop has input to read, or the end of the connection.
+            del conn_by_descriptor[descriptor]
+        for conn in conn_by_descriptor.values():
+            conn.close()
 
     def abort(self) -> None:
         """Stops at once and aborts the exchanges in progress."""
--- /dev/null
+++ b/tests/test_server_stop.py
@@ -0,0 +1,102 @@
+"""Tests of connections that meet the stop of the HTTP server."""
+
+import asyncio
+import unittest
+
+from apricothinge import settings
+from apricothinge.web import messages
+from apricothinge.web import server
+from tests import fleet
+
+_ANY_PORT = settings.Address("127.0.0.1", 0)
+
+
+class _Handler(server.Handler):
+    """Answers each request with its target, after a while.
+
+    Attributes:
+        targets: Targets of the requests that were run.
+        started: Set once a request runs.
+    """
+
+    def __init__(self):
+        self.targets = []
+        self.started = asyncio.Event()
+
+    async def handle(self, request):
+        self.targets.append(request.target)
+        self.started.set()
+        await request.body.buffer(1 << 20)
+        await asyncio.sleep(0.1)
+        return messages.Response(200, [], request.target.encode())
+
+
+def _get(target):
+    return b"GET %s HTTP/1.1\r\nHost: h\r\n\r\n" % target.encode()
+
+
+def _post(target):
+    return (b"POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc" %
+            target.encode())
+
+
+class ServerStopTest(unittest.IsolatedAsyncioTestCase):
+    """No request that was read whole is left without a response."""
+
+    async def asyncSetUp(self):
+        self.handler = _Handler()
+        self.server = server.Server(self.handler, settings.Limits())
+        address = await self.server.start(_ANY_PORT)
+        self.reader, self.writer = await asyncio.open_connection(
+            address.host, address.port)
+        self.addCleanup(self.server.abort)
+        self.addCleanup(self.writer.close)
+
+    async def _read_replies(self):
+        """Returns the responses up to the end of the connection."""
+        raw = await asyncio.wait_for(self.reader.read(), 5.0)
+        return [
+            fleet.Reply(b"HTTP/1.1 " + part)
+            for part in raw.split(b"HTTP/1.1 ")[1:]
+        ]
+
+    def _check_refused_behind(self, replies, served, refused):
+        """Checks the order, and that only the last one closes."""
+        self.assertEqual([reply.status for reply in replies],
+                         [200] * served + [503] * refused)
+        self.assertEqual(
+            [reply.headers.get("connection") == "close" for reply in replies],
+            [False] * (served + refused - 1) + [True])
+        for reply in replies[served:]:
+            self.assertEqual((reply.error, reply.not_run), ("draining", True))
+        self.assertEqual(len(self.handler.targets), served)
+
+    async def test_request_read_in_the_turn_of_the_drain(self):
+        """A connection that has just been given input is not idle."""
+        while not self.server._idle_connections:
+            await asyncio.sleep(0)
+        (conn,) = self.server._idle_connections
+        conn.data_received(_get("/1"))
+        async with asyncio.timeout(5.0):
+            await self.server.drain()
+        self._check_refused_behind(await self._read_replies(), 1, 0)
+
+    async def test_request_received_but_not_read_at_the_drain(self):
+        """A request that waits in the socket is read before the close."""
+        while not self.server._idle_connections:
+            await asyncio.sleep(0)
+        self.writer.write(_get("/1"))
+        async with asyncio.timeout(5.0):
+            await self.server.drain()
+        self._check_refused_behind(await self._read_replies(), 1, 0)
+
+    async def test_content_still_arriving(self):
+        """A request whose content arrives during the drain is served."""
+        data = _post("/1")
+        self.writer.write(data[:-2])
+        await self.handler.started.wait()
+        drained = asyncio.ensure_future(self.server.drain())
+        await asyncio.sleep(0.05)
+        self.writer.write(data[-2:])
+        self._check_refused_behind(await self._read_replies(), 1, 0)
+        await drained
