Keep a session until its last response is out of the process

Cause: a session ended once its response was in the write buffer of the transport, which holds up to 256 KB. A drain waits for sessions only, so the process could end with the rest of a response to a slow client in its memory.

Change: a session ends when the operating system has taken everything. The wait has the same limit as every wait for a client that reads slowly.

--- a/src/apricothinge/web/server.py
+++ b/src/apricothinge/web/server.py
@@ -221,6 +221,7 @@
         try:
             while await self._exchange(conn, requests):
                 conn.codec.start_next_exchange()
+            await self._flush(conn)
         except (connection.ConnectionLost, wire.LocalProtocolError):
             conn.abort()
         except asyncio.CancelledError:
@@ -494,6 +495,17 @@
         finally:
             conn.wait_deadline = math.inf
 
+    async def _flush(self, conn: connection.Connection) -> None:
+        """Waits until the operating system has taken what was written.
+
+        The end of the process would cut the rest, and a drain waits only for
+        sessions.
+        """
+        if conn.transport is None or conn.closed:
+            return
+        conn.transport.set_write_buffer_limits(high=0)
+        await self._drain_writes(conn)
+
     async def _buffer_response(self, response: messages.Response) -> None:
         """Buffers a response whose end HTTP/1.0 could not mark otherwise."""
         assert response.rest is not None
--- a/tests/test_server_stop.py
+++ b/tests/test_server_stop.py
@@ -1,6 +1,7 @@
 """Tests of connections that meet the stop of the HTTP server."""
 
 import asyncio
+import socket
 import unittest
 
 from apricothinge import settings
@@ -8,6 +9,8 @@
 from apricothinge.web import server
 from tests import fleet
 
+_LARGE = bytes(250_000)
+_SMALL_BUFFER_BYTES = 8192
 _ANY_PORT = settings.Address("127.0.0.1", 0)
 
 
@@ -27,6 +30,8 @@
         self.targets.append(request.target)
         self.started.set()
         await request.body.buffer(1 << 20)
+        if request.target == "/large":
+            return messages.Response(200, [], _LARGE)
         await asyncio.sleep(0.1)
         return messages.Response(200, [], request.target.encode())
 
@@ -100,3 +105,26 @@
         self.writer.write(data[-2:])
         self._check_refused_behind(await self._read_replies(), 1, 0)
         await drained
+
+    async def test_drain_ends_before_slow_client_has_its_response(self):
+        """After a drain the process may end: it holds no response any more."""
+        while not self.server._idle_connections:
+            await asyncio.sleep(0)
+        (conn,) = self.server._idle_connections
+        conn.transport.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_SNDBUF, _SMALL_BUFFER_BYTES)
+        self.writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET,
+                                                        socket.SO_RCVBUF,
+                                                        _SMALL_BUFFER_BYTES)
+        self.reader._transport.pause_reading()
+        self.server.close_after_responses()
+        self.writer.write(_get("/large"))
+        await self.handler.started.wait()
+        drained = asyncio.ensure_future(self.server.drain())
+        await asyncio.sleep(0.2)
+        self.reader._transport.resume_reading()
+        reading = asyncio.ensure_future(self._read_replies())
+        await asyncio.wait_for(drained, 5.0)
+        self.assertEqual(conn.transport.get_write_buffer_size(), 0)
+        (reply,) = await reading
+        self.assertTrue(reply.complete)
