Log the requests that the end of a node cuts

Cause: a node of the own engine wrote no line about a request that it cut, be it by a second SIGTERM, which ends the process at once, or by Node.abort.

Change: an entry keeps its pending requests. On both ways, each is logged as request:cut and each call in progress on the local upstream as call:cut, with the request ID, which an entry now assigns on arrival.

--- a/src/apricothinge/daemon.py
+++ b/src/apricothinge/daemon.py
@@ -28,10 +28,14 @@
 async def _run_role(loaded: settings.Settings) -> int:
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
+    node: node_process.Node | None = None
 
     def request_stop() -> None:
         if stop.is_set():
             # A second signal skips the graceful stop.
+            log.event("process:second_signal")
+            if node is not None:
+                node.log_cut()
             os._exit(EXIT_SECOND_SIGNAL)
         stop.set()
 
--- a/src/apricothinge/node/entry.py
+++ b/src/apricothinge/node/entry.py
@@ -56,6 +56,9 @@
     async def handle(self, request: messages.Request) -> messages.Response:
         service = ""
         importance = lists.Importance.NORMAL
+        pending = state.PendingRequest(secrets.token_hex(_REQUEST_ID_BYTES),
+                                       request.path, request.received_at)
+        self._state.pending_requests.add(pending)
         try:
             key, target, headers = keys.extract(request.target, request.headers)
             request.target = target
@@ -69,14 +72,17 @@
             if revision != self._revision():
                 # The key may have been revoked while the content was received.
                 self._authorise(key, request)
+            pending.service = service
             response = await self._dispatch(authorisation, importance, request,
-                                            headers)
+                                            headers, pending.request_id)
         except errors.CallError as error:
             self._state.metrics.refusals.labels("entry", service,
                                                 importance.name.lower(),
                                                 error.code).inc()
             error.internal = {}
             raise
+        finally:
+            self._state.pending_requests.discard(pending)
         self._state.metrics.calls.labels("entry", service,
                                          importance.name.lower(),
                                          f"{response.status // 100}xx").inc()
@@ -151,14 +157,15 @@
 
     async def _dispatch(self, authorisation: _Authorisation,
                         importance: lists.Importance, request: messages.Request,
-                        headers: messages.Headers) -> messages.Response:
+                        headers: messages.Headers,
+                        request_id: str) -> messages.Response:
         limits = self._state.settings.limits
         route = authorisation.route
         timeout_s = route.timeout_s or limits.default_timeout_s
         idempotency_key = messages.header(headers,
                                           authorisation.idempotency_header)
         call_context = context.Context(
-            request_id=secrets.token_hex(_REQUEST_ID_BYTES),
+            request_id=request_id,
             organisation_id=authorisation.organisation_id,
             service=route.service,
             route=f"{request.method} {route.path_prefix}",
--- a/src/apricothinge/node/process.py
+++ b/src/apricothinge/node/process.py
@@ -258,8 +258,13 @@
         self._pool.close()
         eliot.log_message("node:stopped", instance=self.state.settings.instance)
 
+    def log_cut(self) -> None:
+        """Logs the requests that an immediate end of the process cuts."""
+        self.state.log_cut(self._loop.time())
+
     def abort(self) -> None:
         """Stops immediately, interrupting exchanges in progress."""
+        self.log_cut()
         for node_server in (self._caller_server, self._peer_server,
                             self._local_server, self._admin_server):
             node_server.abort()
--- a/src/apricothinge/node/state.py
+++ b/src/apricothinge/node/state.py
@@ -7,6 +7,7 @@
 
 from apricothinge import context
 from apricothinge import lists
+from apricothinge import log
 from apricothinge import metrics
 from apricothinge import settings
 from apricothinge.overload import admission
@@ -18,12 +19,31 @@
 from apricothinge.overload import routing
 from apricothinge.rates import limiter
 
-__all__ = ["Call", "LocalUpstream", "NodeState"]
+__all__ = ["Call", "LocalUpstream", "NodeState", "PendingRequest"]
 
 _CALL_TOKEN_BYTES: Final = 16
 _DRAIN_GRACE_S: Final = 1.5
 
 
+class PendingRequest:
+    """A request of a caller between its arrival and its response.
+
+    Attributes:
+        request_id: Identifier of the request.
+        path: Path of the request.
+        received_at: Loop time in seconds.
+        service: Service to which it is sent, empty before that.
+    """
+
+    __slots__ = ("request_id", "path", "received_at", "service")
+
+    def __init__(self, request_id: str, path: str, received_at: float) -> None:
+        self.request_id = request_id
+        self.path = path
+        self.received_at = received_at
+        self.service = ""
+
+
 class Call:
     """A call that the local upstream runs; the parent of its nested calls.
 
@@ -131,6 +151,7 @@
         router: Known upstream instances.
         local: The upstream beside this node.
         calls_by_token: Calls that the local upstream runs.
+        pending_requests: Requests of callers without a response yet.
         entry_throttle: Refuses requests at the entry that would be shed.
         crashes: Requests suspected of crashing upstreams.
         retry_cap: Limits the retries of this node.
@@ -145,9 +166,10 @@
     """
 
     __slots__ = ("settings", "compiled", "confirmed_at", "router", "local",
-                 "calls_by_token", "entry_throttle", "crashes", "retry_cap",
-                 "rate_limiter", "claim_store", "metrics", "sealer", "draining",
-                 "incarnation", "report_due", "rng")
+                 "calls_by_token", "pending_requests", "entry_throttle",
+                 "crashes", "retry_cap", "rate_limiter", "claim_store",
+                 "metrics", "sealer", "draining", "incarnation", "report_due",
+                 "rng")
 
     def __init__(self, node_settings: settings.Node, now: float,
                  incarnation: int, rate_limiter: limiter.RateLimiter,
@@ -159,6 +181,7 @@
                                      node_settings.region, rng)
         self.local = LocalUpstream(now)
         self.calls_by_token: dict[str, Call] = {}
+        self.pending_requests: set[PendingRequest] = set()
         self.entry_throttle = entry_throttle.EntryThrottle(rng)
         self.crashes = crashes.CrashTable()
         self.retry_cap = retries.RetryRatioCap()
@@ -171,6 +194,21 @@
         self.report_due = asyncio.Event()
         self.rng = rng
 
+    def log_cut(self, now: float) -> None:
+        """Logs what the end of the process leaves without a response."""
+        for pending in self.pending_requests:
+            log.event("request:cut",
+                      request=pending.request_id,
+                      path=pending.path,
+                      service=pending.service,
+                      took_s=round(now - pending.received_at, 4))
+        for call in self.calls_by_token.values():
+            log.event("call:cut",
+                      request=call.context.request_id,
+                      service=call.context.service,
+                      level=call.context.nesting_level,
+                      took_s=round(now - call.started_at, 4))
+
     def is_stale(self, now: float) -> bool:
         """Returns whether the last confirmation of the lists is too old."""
         if self.confirmed_at is None:
