Give the stop of a node a grace period of its own

Cause: a node of the own engine that was stopped took requests on open connections for drain_s more seconds, and calls of other nodes for 1.5 s, and then waited for them without end. A supervisor that kills after a time cut them, although they could have been refused as not run.

Change: the setting grace_s of a node, checked to be more than twice drain_s, says when the process ends; without it nothing changes. From the signal on, a request or call whose deadline is later is refused as not run, except nested calls. At nine tenths of the time, calls that still wait for tokens, their content, the queue or the lock of suspects are refused as not run; those that run are cut and logged. Claims that lost control does not confirm no longer delay the end.

--- a/src/apricothinge/node/entry.py
+++ b/src/apricothinge/node/entry.py
@@ -66,9 +66,10 @@
             service = authorisation.route.service
             importance = lists.Importance[
                 authorisation.route.importance.upper()]
+            self._state.check_end(self._deadline(authorisation.route, request))
             await self._enforce_limits(authorisation, request)
             revision = self._revision()
-            await request.body.buffer(self._state.settings.limits.replay_bytes)
+            await self._buffer(request)
             if revision != self._revision():
                 # The key may have been revoked while the content was received.
                 self._authorise(key, request)
@@ -152,16 +153,32 @@
         rate_limiter = self._state.rate_limiter
         if rate_limiter.try_acquire(self._loop.time(), authorisation.bucket):
             return
-        if not await rate_limiter.acquire(authorisation.bucket):
+        async with self._state.wait_unsent():
+            acquired = await rate_limiter.acquire(authorisation.bucket)
+        if not acquired:
             raise errors.CallError(errors.Kind.RATE_EXCEEDED)
 
+    async def _buffer(self, request: messages.Request) -> None:
+        if request.body.complete:
+            return
+        async with self._state.wait_unsent():
+            await request.body.buffer(self._state.settings.limits.replay_bytes)
+
+    def _timeout_s(self, route: lists.Route) -> float:
+        return route.timeout_s or self._state.settings.limits.default_timeout_s
+
+    def _deadline(self, route: lists.Route, request: messages.Request) -> float:
+        return request.received_at + self._timeout_s(route)
+
     async def _dispatch(self, authorisation: _Authorisation,
                         importance: lists.Importance, request: messages.Request,
                         headers: messages.Headers,
                         request_id: str) -> messages.Response:
         limits = self._state.settings.limits
         route = authorisation.route
-        timeout_s = route.timeout_s or limits.default_timeout_s
+        timeout_s = self._timeout_s(route)
+        deadline = self._deadline(route, request)
+        self._state.check_end(deadline)
         idempotency_key = messages.header(headers,
                                           authorisation.idempotency_header)
         call_context = context.Context(
@@ -180,7 +197,7 @@
         call = dispatch.OutgoingCall(call_context,
                                      request.method, request.target,
                                      messages.end_to_end(headers), request.body,
-                                     request.received_at + timeout_s)
+                                     deadline)
         try:
             response = await self._dispatcher.send(call)
         except errors.CallError:
--- a/src/apricothinge/node/process.py
+++ b/src/apricothinge/node/process.py
@@ -9,6 +9,7 @@
 import eliot
 
 from apricothinge import errors
+from apricothinge import log
 from apricothinge import settings
 from apricothinge.control import wire
 from apricothinge.node import control_client
@@ -33,6 +34,9 @@
 _T = TypeVar("_T")
 
 _TICK_INTERVAL_S = 0.02
+# The rest of the grace period is left for refusals and the exit.
+_GRACE_FRACTION = 0.9
+_REFUSAL_S = 0.1
 _TICKS_PER_PROBE = 10
 _TICKS_PER_EXPIRY = 50
 _TICKS_PER_THROTTLE_UPDATE = 5
@@ -232,31 +236,61 @@
 
         Peers first learn that this node takes no new calls; idle connections
         between nodes stay open until the pools of the peers have closed them.
+        With a grace period, calls whose deadline is later than its end are
+        refused from the start. At its end, calls that have not been sent are
+        refused, and those that still run are cut.
         """
-        eliot.log_message("node:draining",
-                          instance=self.state.settings.instance)
-        self.state.local.drain(self._loop.time())
+        now = self._loop.time()
+        node_settings = self.state.settings
+        log.event("node:draining",
+                  instance=node_settings.instance,
+                  running=self.state.unfinished)
+        self.state.local.drain(now)
         self.state.draining = True
         self.state.report_due.set()
-        drain_s = self.state.settings.limits.drain_s
-        caller_drain = asyncio.ensure_future(
-            self._caller_server.drain(idle_grace_s=drain_s))
-        await self._peer_server.drain(idle_grace_s=drain_s)
-        await caller_drain
-        while self.dispatcher.background_calls or self.state.calls_by_token:
-            await asyncio.sleep(_TICK_INTERVAL_S)
-        await self._local_server.drain()
+        if node_settings.grace_s is not None:
+            self.state.ends_at = now + node_settings.grace_s * _GRACE_FRACTION
+        try:
+            async with asyncio.timeout_at(self.state.ends_at):
+                await self._drain()
+        except TimeoutError:
+            await self._give_up()
         if self._control_client is not None:
             await self._control_client.stop()
         if self._control_claim_store is not None:
-            await self._control_claim_store.close()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout_at(self.state.ends_at):
+                    await self._control_claim_store.close()
         if self._tick_task is not None:
             self._tick_task.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await self._tick_task
         self._admin_server.abort()
         self._pool.close()
-        eliot.log_message("node:stopped", instance=self.state.settings.instance)
+        log.event("node:stopped",
+                  instance=node_settings.instance,
+                  running=self.state.unfinished,
+                  waited_s=round(self._loop.time() - now, 4))
+
+    async def _drain(self) -> None:
+        """Waits until everything in progress has ended."""
+        drain_s = self.state.settings.limits.drain_s
+        await asyncio.gather(self._caller_server.drain(idle_grace_s=drain_s),
+                             self._peer_server.drain(idle_grace_s=drain_s))
+        while self.dispatcher.background_calls or self.state.calls_by_token:
+            await asyncio.sleep(_TICK_INTERVAL_S)
+        await self._local_server.drain()
+
+    async def _give_up(self) -> None:
+        """Refuses what was not sent, and cuts what still runs."""
+        self.state.refuse_waiting(self._loop.time())
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_REFUSAL_S):
+                await asyncio.gather(self._peer_server.drain(),
+                                     self._caller_server.drain())
+        self.abort()
+        # The handlers that were cut end in the next turn.
+        await asyncio.sleep(0)
 
     def log_cut(self) -> None:
         """Logs the requests that an immediate end of the process cuts."""
--- a/src/apricothinge/node/serving.py
+++ b/src/apricothinge/node/serving.py
@@ -113,7 +113,7 @@
 
     async def _acquire_suspect_lock(self, deadline: float) -> None:
         try:
-            async with asyncio.timeout_at(deadline):
+            async with self._state.wait_unsent(), asyncio.timeout_at(deadline):
                 await self._suspect_lock.acquire()
         except TimeoutError:
             raise errors.CallError(errors.Kind.EXPIRED) from None
@@ -139,6 +139,9 @@
                              headers: messages.Headers,
                              body: messages.Body) -> messages.Response:
         self._check_upstream(call_context)
+        if not call_context.nesting_level:
+            # Refusing a nested call would waste the work of its callers.
+            self._state.check_end(deadline)
         ticket = self._state.local.admission_controller.create_ticket(
             self._loop.time(), call_context.organisation_id,
             call_context.importance_level, call_context.weight,
@@ -165,8 +168,9 @@
         waiter: asyncio.Future[bool] = self._loop.create_future()
         self._waiter_by_ticket[ticket] = waiter
         try:
-            admitted = await waiter
-        except asyncio.CancelledError:
+            async with self._state.wait_unsent():
+                admitted = await waiter
+        except (asyncio.CancelledError, errors.CallError):
             if waiter.done() and not waiter.cancelled() and waiter.result():
                 self._release_slot()
             admission_controller.cancel(ticket)
--- a/src/apricothinge/node/state.py
+++ b/src/apricothinge/node/state.py
@@ -1,11 +1,15 @@
 """State of a node that its components share."""
 
 import asyncio
+from collections.abc import AsyncIterator
+import contextlib
+import math
 import random
 import secrets
 from typing import Final
 
 from apricothinge import context
+from apricothinge import errors
 from apricothinge import lists
 from apricothinge import log
 from apricothinge import metrics
@@ -160,6 +164,7 @@
         metrics: Metrics of the node.
         sealer: Authenticates contexts between nodes.
         draining: Whether the node is shutting down.
+        ends_at: Loop time in seconds at which it gives up what still runs.
         incarnation: Increases with each start of the node.
         report_due: Set when there is something to report to control.
         rng: Random number generator of the node.
@@ -168,8 +173,8 @@
     __slots__ = ("settings", "compiled", "confirmed_at", "router", "local",
                  "calls_by_token", "pending_requests", "entry_throttle",
                  "crashes", "retry_cap", "rate_limiter", "claim_store",
-                 "metrics", "sealer", "draining", "incarnation", "report_due",
-                 "rng")
+                 "metrics", "sealer", "draining", "ends_at", "_waits",
+                 "incarnation", "report_due", "rng")
 
     def __init__(self, node_settings: settings.Node, now: float,
                  incarnation: int, rate_limiter: limiter.RateLimiter,
@@ -190,10 +195,54 @@
         self.metrics = metrics.NodeMetrics()
         self.sealer = context.ContextCodec(node_settings.fleet_secret)
         self.draining = False
+        self.ends_at = math.inf
+        self._waits: set[asyncio.Timeout] = set()
         self.incarnation = incarnation
         self.report_due = asyncio.Event()
         self.rng = rng
 
+    @property
+    def unfinished(self) -> int:
+        """Number of requests of callers and calls that have not ended."""
+        return len(self.pending_requests) + len(self.calls_by_token)
+
+    def check_end(self, deadline: float) -> None:
+        """Refuses a call that may run longer than this process.
+
+        Args:
+            deadline: Deadline of the call, as loop time in seconds.
+
+        Raises:
+            errors.CallError: DRAINING.
+        """
+        if deadline > self.ends_at:
+            raise errors.CallError(errors.Kind.DRAINING,
+                                   "the node ends before the deadline")
+
+    @contextlib.asynccontextmanager
+    async def wait_unsent(self) -> AsyncIterator[None]:
+        """A wait of a call that has not been sent; ends with the process.
+
+        Raises:
+            errors.CallError: DRAINING at the end of the process.
+        """
+        wait = asyncio.timeout(None)
+        try:
+            async with wait:
+                self._waits.add(wait)
+                yield
+        except TimeoutError:
+            if not wait.expired():
+                raise
+            raise errors.CallError(errors.Kind.DRAINING) from None
+        finally:
+            self._waits.discard(wait)
+
+    def refuse_waiting(self, now: float) -> None:
+        """Refuses the calls that have not been sent yet."""
+        for wait in self._waits:
+            wait.reschedule(now)
+
     def log_cut(self, now: float) -> None:
         """Logs what the end of the process leaves without a response."""
         for pending in self.pending_requests:
--- a/src/apricothinge/settings.py
+++ b/src/apricothinge/settings.py
@@ -63,7 +63,22 @@
 
 
 class Node(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
-    """Settings of a node, which runs next to one upstream instance."""
+    """Settings of a node, which runs next to one upstream instance.
+
+    Attributes:
+        instance: Name of the node and its upstream instance.
+        failure_domain: Where it is.
+        caller: Address for requests of callers.
+        peer: Address for calls of other nodes.
+        local: Loopback address for the upstream.
+        admin: Address for metrics and dumps.
+        control: Addresses of control instances, nearest first.
+        fleet_secret: Secret that all processes share.
+        region: Region of the failure domain.
+        limits: Limits on callers and calls.
+        grace_s: Seconds between the stop signal and the end of the process, or
+            None for a process that ends once nothing runs any more.
+    """
 
     instance: _Name
     failure_domain: _Name
@@ -76,6 +91,7 @@
                             msgspec.Meta(min_length=_MINIMUM_SECRET_LENGTH)]
     region: _Name = "default"
     limits: Limits = msgspec.field(default_factory=Limits)
+    grace_s: _PositiveFloat | None = None
 
 
 class Control(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
@@ -211,7 +227,8 @@
 
     Raises:
         errors.ApricothingeError: SETTINGS_INVALID; the settings of the role
-            are missing, or a host is not an IP address.
+            are missing, a host is not an IP address, or the grace period of
+            a node is too short for its drain.
     """
     if getattr(settings, settings.role) is None:
         raise errors.ApricothingeError(
@@ -229,6 +246,11 @@
             for index, address in enumerate(node.control)
         }
         _check_addresses(name, addresses)
+        if node.grace_s is not None and node.grace_s <= 2 * node.limits.drain_s:
+            raise errors.ApricothingeError(
+                errors.Kind.SETTINGS_INVALID,
+                f"{name}: Expected more than twice `limits.drain_s`"
+                " - at `$.node.grace_s`")
     if settings.control is not None:
         addresses = {
             "control.rpc": settings.control.rpc,
--- a/tests/test_engine_stop.py
+++ b/tests/test_engine_stop.py
@@ -7,10 +7,15 @@
 from unittest import mock
 
 import eliot
+import msgspec
 
 from apricothinge import daemon
+from apricothinge import errors
 from apricothinge import runtime
 from apricothinge import settings
+from apricothinge.control import wire
+from apricothinge.node import control_client
+from apricothinge.overload import crashes
 from tests import builders
 from tests import fleet
 
@@ -44,9 +49,7 @@
         (request_id,) = (
             call.context.request_id
             for call in self.fleet.nodes[1].state.calls_by_token.values())
-        messages = []
-        eliot.add_destinations(messages.append)
-        self.addCleanup(eliot.remove_destination, messages.append)
+        messages = self._capture_lines()
         for node in self.fleet.nodes:
             node.abort()
         self.assertEqual((await sent).status, 0)
@@ -56,6 +59,88 @@
                          [("request:cut", request_id),
                           ("call:cut", request_id)])
 
+    def _capture_lines(self):
+        lines = []
+        append = lines.append
+        eliot.add_destinations(append)
+        self.addCleanup(eliot.remove_destination, append)
+        return lines
+
+    def _stop(self, index, grace_s):
+        """Stops a node with a grace period; returns the task."""
+        node = self.fleet.nodes[index]
+        node.state.settings = msgspec.structs.replace(node.state.settings,
+                                                      grace_s=grace_s)
+        return asyncio.ensure_future(node.stop())
+
+    async def test_request_accepted_after_stop_and_cut(self):
+        """A request that may run longer than the process is refused."""
+        await self._start(drain_s=0.5)
+        reader, writer = await asyncio.open_connection(self.node.caller.host,
+                                                       self.node.caller.port)
+        self.addCleanup(writer.close)
+        await asyncio.sleep(0.05)
+        stopping = self._stop(0, 1.0)
+        await asyncio.sleep(0.1)
+        writer.write(fleet.request("POST"))
+        async with asyncio.timeout(1.2):
+            reply = fleet.Reply(await reader.read())
+            await stopping
+        self.assertEqual((reply.status, reply.error, reply.not_run),
+                         (503, "draining", True))
+        self.assertEqual(self.upstream.runs, 0)
+
+    async def test_waiting_call_cut_with_running_one(self):
+        """At the end, a call that waits is refused, one that runs is cut."""
+        await self._start()
+        with mock.patch.object(crashes.CrashTable,
+                               "is_suspect",
+                               return_value=True):
+            # Suspects run one at a time.
+            running = self._send()
+            await self._wait_for_run()
+            waiting = self._send()
+            await asyncio.sleep(0.05)
+        messages = self._capture_lines()
+        async with asyncio.timeout(1.2):
+            await self._stop(1, 1.0)
+            self.assertTrue((await waiting).not_run)
+            self.assertEqual((await running).status, 502)
+        self.assertEqual(self.upstream.runs, 1)
+        self.assertEqual([
+            message["message_type"]
+            for message in messages
+            if message["message_type"].endswith(":cut")
+        ], ["call:cut"])
+
+    async def test_content_that_never_arrives(self):
+        """A request whose content is missing at the end is refused."""
+        await self._start()
+        data = fleet.request("POST", content=b"0123")
+        sent = asyncio.ensure_future(fleet.send(self.node.caller, data[:-1]))
+        await asyncio.sleep(0.05)
+        async with asyncio.timeout(1.2):
+            await self._stop(0, 1.0)
+            reply = await sent
+        self.assertEqual((reply.error, reply.not_run), ("draining", True))
+
+    async def test_stop_while_control_is_lost(self):
+        """A claim that can't be recorded does not delay the end."""
+        await self._start()
+        store = control_client.ControlClaimStore([builders.ANY_PORT],
+                                                 wire.Codec(builders.SECRET))
+        self.node._control_claim_store = store
+        await store.give_up("o/stock/a", "owner")
+        async with asyncio.timeout(0.9):
+            await self._stop(0, 0.5)
+
+    def test_grace_period_shorter_than_the_drain(self):
+        """Peers must have closed their connections before the end."""
+        node = msgspec.structs.replace(builders.node_settings(drain_s=5.0),
+                                       grace_s=5.0)
+        with self.assertRaisesRegex(errors.ApricothingeError, "grace_s"):
+            settings.validate(settings.Settings("node", node=node), "x")
+
     async def test_second_signal_leaves_a_line(self):
         """A second SIGTERM logs what it cuts before the process ends."""
         steps = []
