Expect a refusal of a pipelined request that a stop does not run

test_stop_with_requests_in_the_pipe expected no response to a request that was read 0.3 s before the close behind requests that run. The test now demands a 503 that says not run, and still that no upstream gets it.

--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -149,7 +149,7 @@
         self.assertIn(hidden, self.mesh.upstreams[0].request_contents)
 
     async def test_stop_with_requests_in_the_pipe(self):
-        """A planned stop answers what was started and runs nothing else."""
+        """A planned stop answers what was started and refuses the rest."""
         self.writer.write(
             _request(1, "/a/30") + _request(2, "/a/1") + _request(3, "/a/40"))
         await self.mesh.wait_until(lambda: len(self._request_heads()) == 3)
@@ -158,7 +158,11 @@
         self.writer.write(_request(4))
         responses = await self._read_until_close()
         await stopping
-        self.assertEqual(responses, [(200, b"q1"), (200, b"q2"), (200, b"q3")])
+        self.assertEqual(responses[:3], [(200, b"q1"), (200, b"q2"),
+                                         (200, b"q3")])
+        ((status, content),) = responses[3:]
+        self.assertEqual(status, 503)
+        self.assertIn(b'"not_run":true', content)
         self.assertEqual(sorted(self._ids_at_upstreams()),
                          [b"q1", b"q2", b"q3"])
 
