Let other work run between pipelined requests

What callers see: a node that gets SIGTERM under a flood of pipelined requests goes on as if nothing had happened, and is killed with all its requests.

Cause: a session served pipelined requests that are answered without a wait (refusals above all) one after the other without yielding.

Change: a session yields between requests as long as it has unread input.

Result: test_pipelined_requests_delay_signal failed before (1000 requests in one turn of the event loop) and passes.

--- a/src/apricothinge/web/server.py
+++ b/src/apricothinge/web/server.py
@@ -222,6 +222,10 @@
         try:
             while await self._exchange(conn, requests):
                 conn.codec.start_next_exchange()
+                if conn.has_unread_input():
+                    # Requests that are answered without a wait would keep the
+                    # event loop from everything else, signals among it.
+                    await asyncio.sleep(0)
             await self._flush(conn)
         except (connection.ConnectionLost, wire.LocalProtocolError):
             conn.abort()
--- a/tests/test_server_stop.py
+++ b/tests/test_server_stop.py
@@ -29,6 +29,8 @@
     async def handle(self, request):
         self.targets.append(request.target)
         self.started.set()
+        if request.target == "/now":
+            return messages.Response(200, [], b"")
         await request.body.buffer(1 << 20)
         if request.target == "/large":
             return messages.Response(200, [], _LARGE)
@@ -122,6 +124,12 @@
         await asyncio.wait((sending, reading))
         self.assertEqual(self.handler.targets, ["/1"])
 
+    async def test_pipelined_requests_delay_signal(self):
+        """Requests that are answered at once let other callbacks run."""
+        self.writer.write(_get("/now") * 1000)
+        await self.handler.started.wait()
+        self.assertLess(len(self.handler.targets), 10)
+
     async def test_request_read_in_the_turn_of_the_drain(self):
         """A connection that has just been given input is not idle."""
         while not self.server._idle_connections:
