Accept the connections that wait when a listener is closed

Cause: closing the socket resets connections that the kernel has accepted and the process has not, with the requests that their callers have sent.

Change: a listener takes them over before it closes the socket.

Result: test_request_of_unaccepted_connection_reset failed before (connection reset by peer) and passes.

--- a/src/apricothinge/web/listener.py
+++ b/src/apricothinge/web/listener.py
@@ -53,22 +53,24 @@
                                         self._socket.getsockname()[1])
         self._loop.add_reader(self._socket, self._accept)
 
-    def _accept(self) -> None:
+    def _accept(self) -> bool:
+        """Accepts a batch; returns whether further connections may wait."""
         for _ in range(_MAX_ACCEPTS_PER_EVENT):
             try:
                 accepted, _ = self._socket.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                return
+                return False
             except OSError as error:
                 log.event("listener:accept_failed", error=str(error))
                 self._loop.remove_reader(self._socket)
                 self._loop.call_later(_ACCEPT_RETRY_S, self._resume)
-                return
+                return False
             accepted.setblocking(False)
             task: asyncio.Task[object] = asyncio.ensure_future(
                 self._set_up(accepted))
             self._setups.add(task)
             task.add_done_callback(self._setups.discard)
+        return True
 
     async def _set_up(self, accepted: socket.socket) -> None:
         try:
@@ -83,10 +85,14 @@
             self._loop.add_reader(self._socket, self._accept)
 
     def close(self) -> None:
-        """Stops accepting; accepted connections are still set up."""
+        """Stops accepting; connections made so far are still set up."""
         if self._closed:
             return
         self._closed = True
+        # The kernel resets connections that wait to be accepted.
+        for _ in range(_BACKLOG // _MAX_ACCEPTS_PER_EVENT + 1):
+            if not self._accept():
+                break
         self._loop.remove_reader(self._socket)
         self._socket.close()
 
--- a/tests/test_server_stop.py
+++ b/tests/test_server_stop.py
@@ -130,6 +130,14 @@
         await self.handler.started.wait()
         self.assertLess(len(self.handler.targets), 10)
 
+    async def test_request_of_unaccepted_connection_reset(self):
+        """A connection that the kernel has accepted is served."""
+        with socket.create_connection(self.writer.get_extra_info("peername"),
+                                      timeout=5.0) as client:
+            client.sendall(_get("/1"))
+            await self.server.drain()
+            self.assertIn(b"200 OK", client.recv(1 << 16))
+
     async def test_request_read_in_the_turn_of_the_drain(self):
         """A connection that has just been given input is not idle."""
         while not self.server._idle_connections:
