Tell refused callers of a stopping node when the next process is ready

What callers saw: a request refused by a stopping node was told to return within 0.4 s, on the assumption that another node accepts its next connection.

Cause: the callers of a machine come back to its own node.

Change: Retry-After of a refusal by a stopping node leads past its end and the start of the next process. As a refusal helps a caller less than was assumed, a request is refused only if it is more likely than not to be cut: the expected response time is the average, no longer the average and two deviations. test_two_speeds expected an estimate above the slow half of two speeds; it now expects one between both, and the bound of the decision itself is as before (test_slow_requests_are_refused_earlier).

--- a/src/apricothinge/mesh/entry.py
+++ b/src/apricothinge/mesh/entry.py
@@ -33,8 +33,6 @@
 # callers that were refused together would also retry together.
 _RETRY_JITTER: Final = 1.0
 _MIN_RETRY_S: Final = 0.1
-# Another node accepts the caller's next connection.
-_DRAINING_RETRY_S: Final = 0.2
 # After a start of the whole mesh, a leader of control is elected and the nodes
 # attach within this time.
 _NO_DOCUMENT_RETRY_S: Final = 1.0
@@ -84,8 +82,7 @@
             raise
         except asyncio.CancelledError:
             if pending_request.consume_withdrawal():
-                withdrawal = errors.CallError(errors.Kind.DRAINING,
-                                              retry_after_s=_DRAINING_RETRY_S)
+                withdrawal = errors.CallError(errors.Kind.DRAINING)
                 self._record_error(request, request_id, withdrawal)
                 raise withdrawal from None
             pending_request.log_unanswered(self._loop.time(), self._state.drain)
@@ -95,8 +92,12 @@
 
     def _record_error(self, request: messages.Request, request_id: str,
                       error: errors.CallError) -> None:
-        """Adds jitter to the retry time, and logs and counts the error."""
-        if error.retry_after_s:
+        """Sets the retry time, and logs and counts the error."""
+        stop = self._state.drain
+        if stop is not None and error.kind is errors.Kind.DRAINING:
+            error.retry_after_s = stop.retry_after_s(self._loop.time(),
+                                                     self._random.random())
+        elif error.retry_after_s:
             error.retry_after_s = self._add_jitter(error.retry_after_s)
         log.event("request:refused" if error.not_run else "request:failed",
                   request=request_id,
@@ -186,8 +187,7 @@
         if not stop.accepts(
                 self._loop.time(), self._deadline(route, request),
                 self._state.expected_s(route.name, route.latency_objective_s)):
-            raise errors.CallError(errors.Kind.DRAINING,
-                                   retry_after_s=_DRAINING_RETRY_S)
+            raise errors.CallError(errors.Kind.DRAINING)
 
     def _current_document(self) -> documents.CompiledDocument:
         compiled = self._state.compiled
--- a/src/apricothinge/mesh/state.py
+++ b/src/apricothinge/mesh/state.py
@@ -68,14 +68,14 @@
         return self.drain is not None
 
     def expected_s(self, route: str, objective_s: float) -> float:
-        """Returns an upper estimate of the response time of a route.
+        """Returns the expected response time of a route in seconds.
 
         Args:
             route: Name of the route.
             objective_s: Its latency objective in seconds.
         """
-        return self.response_times.upper_s(route,
-                                           objective_s * _OBJECTIVE_FRACTION)
+        return self.response_times.mean_s(route,
+                                          objective_s * _OBJECTIVE_FRACTION)
 
     def start_by(self, call: frames.Call) -> float:
         """Returns when a request of this machine has to be at an upstream.
--- a/src/apricothinge/mesh/upstream.py
+++ b/src/apricothinge/mesh/upstream.py
@@ -33,8 +33,6 @@
 # Content that is still arriving is delivered past the deadline, but silence of
 # this many seconds after it ends the response.
 _MAX_LATE_STALL_S: Final = 1.0
-# Another node accepts the next connection of a caller whose node is stopped.
-_WITHDRAWN_RETRY_S: Final = 0.2
 
 
 class CheckIn:
@@ -477,8 +475,7 @@
         if not waiter.done():
             waiter.set_exception(
                 errors.CallError(errors.Kind.DRAINING,
-                                 "withdrawn by a node that is being stopped",
-                                 retry_after_s=_WITHDRAWN_RETRY_S))
+                                 "withdrawn by a node that is being stopped"))
 
     def _release(self, started_at: float) -> None:
         self._queue.release(self._loop.time() - started_at)
--- a/src/apricothinge/overload/drain.py
+++ b/src/apricothinge/overload/drain.py
@@ -20,7 +20,9 @@
 # An upstream that enforces the deadline itself responds shortly after it.
 _RESPONSE_SLACK_S: Final = 0.1
 _GAIN: Final = 0.1
-_DEVIATIONS: Final = 2.0
+# A process of a node is ready again this long after it has ended.
+_RESTART_S: Final = 0.75
+_MAX_JITTER_S: Final = 0.5
 _MAX_ROUTES: Final = 1024
 
 
@@ -56,7 +58,9 @@
         Args:
             now: Time in seconds.
             deadline: Time in seconds at which the request ends in any case.
-            expected_s: Upper estimate of its response time in seconds.
+            expected_s: Its expected response time in seconds. A refused caller
+                can only come back to the next process on this machine, so a
+                request that is more likely than not to be answered is taken.
         """
         if deadline + _RESPONSE_SLACK_S <= self._ends_at:
             # It can't be cut. Nested calls of requests that end in time are
@@ -68,6 +72,17 @@
         """Returns the latest time to send a request to an upstream."""
         return self._ends_at - max(expected_s, _MIN_EXPECTED_S)
 
+    def retry_after_s(self, now: float, jitter: float) -> float:
+        """Returns seconds until the next process on this machine is ready.
+
+        A caller that returned earlier would only find this process again.
+
+        Args:
+            now: Time in seconds.
+            jitter: Random number from 0 to 1; keeps the callers apart.
+        """
+        return self.cuts_at - now + _RESTART_S + _MAX_JITTER_S * jitter
+
     def end(self, now: float) -> None:
         """Ends the drain early; no further request is taken on."""
         self.cuts_at = min(self.cuts_at, now)
@@ -75,46 +90,22 @@
         self._accepts_until = min(self._accepts_until, now)
 
 
-class _ResponseTime:
-    """Response time of one route.
-
-    Attributes:
-        mean_s: Moving average in seconds.
-        deviation_s: Moving average of the distance from it in seconds.
-    """
-
-    __slots__ = ("mean_s", "deviation_s")
-
-    def __init__(self, mean_s: float) -> None:
-        self.mean_s = mean_s
-        self.deviation_s = mean_s / 2
-
-
 class ResponseTimes:
-    """Upper estimates of the response times by route.
-
-    The mean and its deviation are averaged as TCP does for its retransmission
-    timeout (RFC 6298).
-    """
+    """Moving averages of the response times by route."""
 
-    __slots__ = ("_by_route",)
+    __slots__ = ("_mean_s_by_route",)
 
     def __init__(self) -> None:
-        self._by_route: dict[str, _ResponseTime] = {}
+        self._mean_s_by_route: dict[str, float] = {}
 
     def record(self, route: str, took_s: float) -> None:
         """Records how long a request took that an upstream has answered."""
-        found = self._by_route.get(route)
-        if found is not None:
-            error_s = took_s - found.mean_s
-            found.mean_s += _GAIN * error_s
-            found.deviation_s += _GAIN * (abs(error_s) - found.deviation_s)
-        elif len(self._by_route) < _MAX_ROUTES:
-            self._by_route[route] = _ResponseTime(took_s)
-
-    def upper_s(self, route: str, default_s: float) -> float:
-        """Returns what most requests stay below, or a default if unknown."""
-        found = self._by_route.get(route)
-        if found is None:
-            return default_s
-        return found.mean_s + _DEVIATIONS * found.deviation_s
+        mean_s = self._mean_s_by_route.get(route)
+        if mean_s is not None:
+            self._mean_s_by_route[route] = mean_s + _GAIN * (took_s - mean_s)
+        elif len(self._mean_s_by_route) < _MAX_ROUTES:
+            self._mean_s_by_route[route] = took_s
+
+    def mean_s(self, route: str, default_s: float) -> float:
+        """Returns the average of a route, or a default if it is unknown."""
+        return self._mean_s_by_route.get(route, default_s)
