Close gaps in the withdrawal of requests at a stop

- A request whose deadline is before the end of its node was accepted as it can't be cut, and then withdrawn if it had to wait: the time by which it has to be at an upstream ignored its deadline (503 != 200).
- A withdrawal that was read together with its call found nothing that waits yet, was lost, and was not repeated ([] != [2]).
The request remembers it.
- A request that was refused while its content arrived did not get its token back (1 != 0).
Tokens are now returned in one place.
- A call that was withdrawn and cancelled in one turn of the event loop ended as refused, with its cancellation swallowed.
- Whether a call that waits beside the upstream of a stopping node can still end was decided by the average over all routes; a slow call was sent and cut.
Each call now has its own time, by its route and deadline, and the queue lets it expire as any other wait.
- Early errors of upstreams counted as fast responses of their route.

--- a/src/apricothinge/mesh/admission_queue.py
+++ b/src/apricothinge/mesh/admission_queue.py
@@ -53,14 +53,24 @@
         rank: Importance; lower ranks run first.
         wait_until: Time in seconds after which it expires.
         arrived_at: Arrival time in seconds.
+        deadline: Time in seconds at which the request ends in any case.
+        hold_s: Seconds for which it is expected to hold a slot.
         waiting: Whether it is still queued.
         waiter: Set and used by the caller, which wakes it when the ticket is
             admitted or removed; opaque to the queue.
     """
 
-    __slots__ = ("rank", "wait_until", "arrived_at", "waiting", "waiter")
-
-    def __init__(self, rank: int, wait_until: float, arrived_at: float) -> None:
+    __slots__ = ("rank", "wait_until", "arrived_at", "deadline", "hold_s",
+                 "waiting", "waiter")
+
+    def __init__(self,
+                 rank: int,
+                 wait_until: float,
+                 arrived_at: float,
+                 deadline: float = math.inf,
+                 hold_s: float = 0.0) -> None:
+        self.deadline = deadline
+        self.hold_s = hold_s
         self.rank = rank
         self.wait_until = wait_until
         self.arrived_at = arrived_at
@@ -214,6 +224,10 @@
             started.append(ticket)
         return started
 
+    def waiting(self) -> list[Ticket]:
+        """Returns the waiting tickets."""
+        return [ticket for _, _, ticket in self._heap if ticket.waiting]
+
     def pop_expired(self, now: float) -> list[Ticket]:
         """Removes and returns the tickets whose wait has expired."""
         late = [
@@ -229,7 +243,7 @@
 
     def pop_all(self) -> list[Ticket]:
         """Removes and returns all waiting tickets."""
-        waiting = [ticket for _, _, ticket in self._heap if ticket.waiting]
+        waiting = self.waiting()
         self._heap = []
         self._waiting_by_rank = {}
         for ticket in waiting:
--- a/src/apricothinge/mesh/entry.py
+++ b/src/apricothinge/mesh/entry.py
@@ -41,6 +41,8 @@
 # Tokens become available again as their spends leave the window, which happens
 # evenly over its length.
 _RATE_LIMIT_RETRY_S: Final = 0.5
+_MIN_SERVER_ERROR_STATUS: Final = 500
+_TIMEOUT_STATUS: Final = 504
 _DEADLINE: Final = re.compile(rb"[0-9]{1,18}")
 
 
@@ -78,21 +80,24 @@
         try:
             return await self._handle(request, pending_request)
         except errors.CallError as error:
-            self._record_error(request, request_id, error)
+            self._record_error(request, pending_request, error)
             raise
         except asyncio.CancelledError:
-            if pending_request.consume_withdrawal():
+            if pending_request.end_withdrawal():
                 withdrawal = errors.CallError(errors.Kind.DRAINING)
-                self._record_error(request, request_id, withdrawal)
+                self._record_error(request, pending_request, withdrawal)
                 raise withdrawal from None
             pending_request.log_unanswered(self._loop.time(), self._state.drain)
             raise
         finally:
             self._state.pending.remove(pending_request)
 
-    def _record_error(self, request: messages.Request, request_id: str,
+    def _record_error(self, request: messages.Request,
+                      pending_request: pending.PendingRequest,
                       error: errors.CallError) -> None:
-        """Sets the retry time, and logs and counts the error."""
+        """Returns the token, sets the retry time, logs and counts the error."""
+        if error.not_run and pending_request.charged is not None:
+            self._state.token_pool.refund(pending_request.charged)
         stop = self._state.drain
         if stop is not None and error.kind is errors.Kind.DRAINING:
             error.retry_after_s = stop.retry_after_s(self._loop.time(),
@@ -100,7 +105,7 @@
         elif error.retry_after_s:
             error.retry_after_s = self._add_jitter(error.retry_after_s)
         log.event("request:refused" if error.not_run else "request:failed",
-                  request=request_id,
+                  request=pending_request.request_id,
                   target=request.target,
                   code=error.code,
                   detail=error.detail,
@@ -135,44 +140,37 @@
         if body.length is not None and body.length > limit:
             raise errors.CallError(errors.Kind.CONTENT_TOO_LARGE)
         body.max_bytes = limit
-        charged_organisation = None if route.anonymous else organisation
-        if charged_organisation is not None:
-            refundable = await self._spend_token(charged_organisation)
-            if not refundable:
-                charged_organisation = None
+        if not route.anonymous and organisation is not None:
+            refundable = await self._spend_token(organisation)
+            if refundable:
+                pending_request.charged = organisation
         pending_request.stage = pending.Stage.CONTENT
-        try:
-            await body.buffer(_MAX_REPLAY_BYTES)
-            if self._state.compiled is not compiled:
-                # The key may have been revoked or the route changed while
-                # the content was read.
-                compiled = self._current_document()
-                route = self._find_route(compiled, request)
-                organisation = self._authenticate(compiled, route, request)
-            # The node may have been stopped while the request waited.
-            self._check_drain(route, request)
-            upstream_request = self._make_upstream_request(
-                compiled, route, organisation, request,
-                pending_request.request_id)
-            pending_request.upstream_request = upstream_request
-            upstream_request.start_by = self._state.start_by(
-                upstream_request.call)
-            pending_request.stage = pending.Stage.RESPONSE
-            if self._state.crash_table.is_blocked(
-                    self._loop.time(), upstream_request.call.fingerprint):
-                raise errors.CallError(errors.Kind.CRASH_SUSPECTED)
-            if upstream_request.call.rank < 0:
-                # Refusing a nested call would waste its parent's work.
-                self._local_costs.record_call(upstream_request.call.service,
-                                              upstream_request.call.route)
-            elif compiled.requires_keys:
-                # Without keys, nested calls cannot be told from others.
-                self._downstream_capacity.check(upstream_request.call)
-            return await self._dispatch(route, upstream_request)
-        except errors.CallError as error:
-            if error.not_run and charged_organisation is not None:
-                self._state.token_pool.refund(charged_organisation)
-            raise
+        await body.buffer(_MAX_REPLAY_BYTES)
+        if self._state.compiled is not compiled:
+            # The key may have been revoked or the route changed while the
+            # content was read.
+            compiled = self._current_document()
+            route = self._find_route(compiled, request)
+            organisation = self._authenticate(compiled, route, request)
+        # The node may have been stopped while the request waited.
+        self._check_drain(route, request)
+        upstream_request = self._make_upstream_request(
+            compiled, route, organisation, request, pending_request.request_id)
+        upstream_request.start_by = self._state.start_by(
+            upstream_request.call, upstream_request.deadline)
+        pending_request.upstream_request = upstream_request
+        pending_request.stage = pending.Stage.RESPONSE
+        if self._state.crash_table.is_blocked(
+                self._loop.time(), upstream_request.call.fingerprint):
+            raise errors.CallError(errors.Kind.CRASH_SUSPECTED)
+        if upstream_request.call.rank < 0:
+            # Refusing a nested call would waste its parent's work.
+            self._local_costs.record_call(upstream_request.call.service,
+                                          upstream_request.call.route)
+        elif compiled.requires_keys:
+            # Without keys, nested calls cannot be told from others.
+            self._downstream_capacity.check(upstream_request.call)
+        return await self._dispatch(route, upstream_request)
 
     def _check_drain(self, route: documents.Route,
                      request: messages.Request) -> None:
@@ -232,7 +230,10 @@
         started_at = self._loop.time()
         response = await self._dispatcher.run(upstream_request, route.attempts)
         took_s = self._loop.time() - started_at
-        self._state.response_times.record(call.route, took_s)
+        if (response.status < _MIN_SERVER_ERROR_STATUS or
+                response.status == _TIMEOUT_STATUS):
+            # Other errors come early.
+            self._state.response_times.record(call.route, took_s)
         self._state.metrics.calls.labels("entry", call.service, str(call.rank),
                                          f"{response.status // 100}xx").inc()
         log.event("request:answered",
--- a/src/apricothinge/mesh/node.py
+++ b/src/apricothinge/mesh/node.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 import random
 import time
 from typing import Final
@@ -394,22 +395,27 @@
         now = self._loop.time()
         for request in self.state.pending:
             sent = request.upstream_request
-            if now > (stop.start_by(0.0) if sent is None else sent.start_by):
+            start_by = (stop.start_by(math.inf, 0.0)
+                        if sent is None else sent.start_by)
+            if now > start_by:
                 request.withdraw()
-        if now > stop.start_by(self.upstream.hold_s):
-            self.upstream.refuse_waiting()
 
-    async def stop(self) -> None:
+    async def stop(self, signalled_at: float | None = None) -> None:
         """Stops gracefully: serves current requests and, at first, new ones.
 
         Requests that could not be answered before the end of the grace period
         are refused. Those that still run then are aborted, which raises no
         error.
+
+        Args:
+            signalled_at: Loop time in seconds of the stop signal; now if None.
         """
         now = self._loop.time()
-        # The signal may have come at any time since the loop last ran.
-        stop = drain.Drain(min(now, self._last_tick_at), now,
-                           self._settings.grace_s)
+        # A process that was paused finds a signal of any time since its last
+        # tick.
+        signalled_at = min(now if signalled_at is None else signalled_at,
+                           self._last_tick_at)
+        stop = drain.Drain(signalled_at, now, self._settings.grace_s)
         log.event("node:draining",
                   running=len(self.state.pending),
                   noticed_s=round(now - stop.signalled_at, 4))
@@ -420,7 +426,9 @@
         for request in self.state.pending:
             if request.upstream_request is not None:
                 request.upstream_request.start_by = self.state.start_by(
-                    request.upstream_request.call)
+                    request.upstream_request.call,
+                    request.upstream_request.deadline)
+        self.upstream.begin_drain(stop)
         while self._loop.time() < stop.cuts_at:
             await asyncio.sleep(_DRAIN_POLL_INTERVAL_S)
             self._withdraw_late_requests(stop)
--- a/src/apricothinge/mesh/peers.py
+++ b/src/apricothinge/mesh/peers.py
@@ -258,10 +258,9 @@
 
     def make_hello(self, instance: str) -> frames.Hello:
         """Returns the first message to a node."""
-        return frames.Hello(self.hello.instance,
-                            self.hello.incarnation,
+        return frames.Hello(self.hello.instance, self.hello.incarnation,
                             self._known_upstream_by_instance.get(instance),
-                            handles_withdrawals=True)
+                            self.hello.handles_withdrawals)
 
     def update_load(self, peer: Peer) -> None:
         """Publishes the latest load of a node's upstream to the router."""
--- a/src/apricothinge/mesh/pending.py
+++ b/src/apricothinge/mesh/pending.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from apricothinge import log
+from apricothinge.mesh import documents
 from apricothinge.mesh import upstream
 from apricothinge.overload import drain
 
@@ -26,15 +27,17 @@
         request_id: Identifier of the request.
         accepted_at: Loop time in seconds.
         stage: What it waits for.
+        charged: Organisation whose token it has spent, or None.
         upstream_request: The request as it is sent to upstreams, or None before
             the stage RESPONSE.
-        withdrawn: Whether it is to be refused if no upstream has it.
+        withdrawn: Whether `withdraw` has been called.
     """
 
-    __slots__ = ("request_id", "accepted_at", "stage", "upstream_request",
-                 "withdrawn", "_task")
+    __slots__ = ("request_id", "accepted_at", "stage", "charged",
+                 "upstream_request", "withdrawn", "_task")
 
     def __init__(self, request_id: str, accepted_at: float) -> None:
+        self.charged: documents.Organisation | None = None
         self.withdrawn = False
         self._task = asyncio.current_task()
         self.request_id = request_id
@@ -43,7 +46,11 @@
         self.upstream_request: upstream.UpstreamRequest | None = None
 
     def withdraw(self) -> None:
-        """Has the request refused as not run unless an upstream has it."""
+        """Has the request refused as not run unless an upstream has it.
+
+        Before the request is sent, this cancels its handler, which then calls
+        `end_withdrawal`. Further calls have no effect.
+        """
         if self.withdrawn:
             return
         self.withdrawn = True
@@ -52,8 +59,12 @@
         elif self._task is not None:
             self._task.cancel()
 
-    def consume_withdrawal(self) -> bool:
-        """Returns whether the handler was cancelled by `withdraw`."""
+    def end_withdrawal(self) -> bool:
+        """Takes back a cancellation of the handler by `withdraw`.
+
+        Returns:
+            False if somebody else has cancelled the handler.
+        """
         if not self.withdrawn or self.upstream_request is not None:
             return False
         if self._task is not None:
--- a/src/apricothinge/mesh/state.py
+++ b/src/apricothinge/mesh/state.py
@@ -77,15 +77,19 @@
         return self.response_times.mean_s(route,
                                           objective_s * _OBJECTIVE_FRACTION)
 
-    def start_by(self, call: frames.Call) -> float:
+    def start_by(self, call: frames.Call, deadline: float) -> float:
         """Returns when a request of this machine has to be at an upstream.
 
         Infinite unless the node is being stopped; loop time in seconds.
+
+        Args:
+            call: Head of the request.
+            deadline: Loop time in seconds at which it ends in any case.
         """
         if self.drain is None:
             return math.inf
-        return self.drain.start_by(self.expected_s(call.route,
-                                                   call.objective_s))
+        return self.drain.start_by(
+            deadline, self.expected_s(call.route, call.objective_s))
 
     @property
     def service(self) -> str:
--- a/src/apricothinge/mesh/upstream.py
+++ b/src/apricothinge/mesh/upstream.py
@@ -19,6 +19,7 @@
 from apricothinge.overload import cold_start
 from apricothinge.overload import completion
 from apricothinge.overload import crashes
+from apricothinge.overload import drain
 from apricothinge.overload import load_feedback
 from apricothinge.web import client
 from apricothinge.web import messages
@@ -76,10 +77,11 @@
         start_by: Loop time in seconds after which no attempt begins.
         on_withdraw: Refuses the current attempt if it still waits for a slot,
             or None if there is none that can be refused.
+        withdrawn: Whether it is refused instead of waiting for a slot.
     """
 
     __slots__ = ("call", "body", "deadline", "homes", "attempts", "instance",
-                 "sent_at", "start_by", "on_withdraw")
+                 "sent_at", "start_by", "on_withdraw", "withdrawn")
 
     def __init__(self,
                  call: frames.Call,
@@ -95,9 +97,11 @@
         self.sent_at = 0.0
         self.start_by = math.inf
         self.on_withdraw: Callable[[], None] | None = None
+        self.withdrawn = False
 
     def withdraw(self) -> None:
         """Refuses the request as not run unless it is at an upstream."""
+        self.withdrawn = True
         if self.on_withdraw is not None:
             self.on_withdraw()
 
@@ -123,7 +127,7 @@
                  "_deregistered_ids", "_probe_task", "_crash_table", "_metrics",
                  "_incarnation", "_crash_count", "_local_costs",
                  "_load_feedback", "_announcements", "_evacuated",
-                 "_queue_timer", "_rejection_meter", "_stopped")
+                 "_queue_timer", "_rejection_meter", "_drain")
 
     def __init__(self, address: settings.Address,
                  header_names: names.HeaderNames, pool: client.ConnectionPool,
@@ -142,7 +146,7 @@
         self._load_feedback = load_feedback.LoadFeedback(self._loop.time())
         self._check_in: CheckIn | None = None
         self._usable = False
-        self._stopped = False
+        self._drain: drain.Drain | None = None
         self._deregistered_ids: collections.deque[str] = collections.deque(
             maxlen=64)
         self._probe_task: asyncio.Task[None] | None = None
@@ -161,20 +165,17 @@
         """Service named in the latest check-in; empty before the first."""
         return "" if self._check_in is None else self._check_in.service
 
-    @property
-    def hold_s(self) -> float:
-        """Average time in seconds that a request holds a slot."""
-        return self._queue.hold_s
-
-    def refuse_waiting(self) -> None:
-        """Refuses the requests that wait for a slot, and all later ones.
+    def begin_drain(self, stop: drain.Drain) -> None:
+        """Bounds the wait for a slot by the end of the process.
 
-        Called when the node is being stopped, so that their entries can send
-        them elsewhere in time.
+        Calls that could not end in time are refused as not run, so that their
+        entries can send them elsewhere.
         """
-        self._stopped = True
-        for ticket in self._queue.pop_all():
-            _resolve(ticket, False)
+        self._drain = stop
+        for ticket in self._queue.waiting():
+            ticket.wait_until = min(
+                ticket.wait_until, stop.start_by(ticket.deadline,
+                                                 ticket.hold_s))
 
     def row(self) -> frames.UpstreamRow | None:
         """Returns the upstream as published to other nodes."""
@@ -356,7 +357,7 @@
         """
         call = upstream_request.call
         latest = self._check_in
-        if (latest is None or not self._usable or self._stopped or
+        if (latest is None or not self._usable or
                 latest.service != call.service):
             raise errors.CallError(
                 errors.Kind.NO_UPSTREAM,
@@ -429,9 +430,16 @@
         hold_s = self._local_costs.hold_s(upstream_request.call.route,
                                           self._queue.hold_s)
         self._load_feedback.record_arrival(hold_s)
-        ticket = admission_queue.Ticket(
-            rank, now + admission_queue.AdmissionQueue.max_wait_s(
-                rank < 0, remaining_s, upstream_request.call.objective_s), now)
+        wait_until = now + admission_queue.AdmissionQueue.max_wait_s(
+            rank < 0, remaining_s, upstream_request.call.objective_s)
+        if self._drain is not None:
+            start_by = self._drain.start_by(upstream_request.deadline, hold_s)
+            if now > start_by:
+                raise errors.CallError(errors.Kind.NO_UPSTREAM,
+                                       "this node is being stopped")
+            wait_until = min(wait_until, start_by)
+        ticket = admission_queue.Ticket(rank, wait_until, now,
+                                        upstream_request.deadline, hold_s)
         try:
             verdict = self._queue.offer(now, ticket)
         except admission_queue.Refused as refused:
@@ -440,6 +448,9 @@
                                    retry_after_s=refused.wait_s) from None
         if verdict == admission_queue.Verdict.RUN:
             return
+        if upstream_request.withdrawn:
+            self._queue.cancel(ticket)
+            raise _withdrawal()
         waiter: asyncio.Future[bool] = self._loop.create_future()
         ticket.waiter = waiter
         upstream_request.on_withdraw = lambda: self._withdraw(ticket)
@@ -449,7 +460,8 @@
         try:
             admitted = await waiter
         except asyncio.CancelledError:
-            if waiter.done() and not waiter.cancelled() and waiter.result():
+            if (waiter.done() and not waiter.cancelled() and
+                    waiter.exception() is None and waiter.result()):
                 self._queue.return_slot()
                 self.process_queue()
             self._queue.cancel(ticket)
@@ -458,7 +470,7 @@
             upstream_request.on_withdraw = None
         if not admitted:
             raise errors.CallError(
-                errors.Kind.OVERLOADED if self._usable and not self._stopped
+                errors.Kind.OVERLOADED if self._usable and self._drain is None
                 else errors.Kind.NO_UPSTREAM,
                 # An empty queue does not mean that there is room.
                 retry_after_s=max(
@@ -473,9 +485,7 @@
         waiter = ticket.waiter
         assert isinstance(waiter, asyncio.Future)
         if not waiter.done():
-            waiter.set_exception(
-                errors.CallError(errors.Kind.DRAINING,
-                                 "withdrawn by a node that is being stopped"))
+            waiter.set_exception(_withdrawal())
 
     def _release(self, started_at: float) -> None:
         self._queue.release(self._loop.time() - started_at)
@@ -602,6 +612,11 @@
     """Default callback."""
 
 
+def _withdrawal() -> errors.CallError:
+    return errors.CallError(errors.Kind.DRAINING,
+                            "withdrawn by a node that is being stopped")
+
+
 def _resolve(ticket: admission_queue.Ticket, admitted: bool) -> bool:
     waiter = ticket.waiter
     assert isinstance(waiter, asyncio.Future)
--- a/src/apricothinge/overload/drain.py
+++ b/src/apricothinge/overload/drain.py
@@ -5,6 +5,7 @@
 then is cut.
 """
 
+import math
 from typing import Final
 
 __all__ = ["Drain", "ResponseTimes"]
@@ -62,14 +63,23 @@
                 can only come back to the next process on this machine, so a
                 request that is more likely than not to be answered is taken.
         """
-        if deadline + _RESPONSE_SLACK_S <= self._ends_at:
-            # It can't be cut. Nested calls of requests that end in time are
-            # mostly of this kind.
-            return True
-        return now < self._accepts_until and now <= self.start_by(expected_s)
+        start_by = self.start_by(deadline, expected_s)
+        return now <= start_by and (now < self._accepts_until or
+                                    start_by == math.inf)
+
+    def start_by(self, deadline: float, expected_s: float) -> float:
+        """Returns the latest time in seconds to send a request to an upstream.
 
-    def start_by(self, expected_s: float) -> float:
-        """Returns the latest time to send a request to an upstream."""
+        Infinite for a request that ends by its own deadline before the process
+        does, as that can't be cut. Nested calls of requests that end in time
+        are mostly of this kind.
+
+        Args:
+            deadline: Time in seconds at which the request ends in any case.
+            expected_s: Its expected response time in seconds.
+        """
+        if deadline + _RESPONSE_SLACK_S <= self._ends_at:
+            return math.inf
         return self._ends_at - max(expected_s, _MIN_EXPECTED_S)
 
     def retry_after_s(self, now: float, jitter: float) -> float:
