Count a stop from its signal, not from its notice

Cause: the event loop hears of a signal through a file descriptor that it polls, and it skips polls while it has callbacks to run. Its ticks go on meanwhile, so the last tick is no bound for the time of the signal. A busy node accepted requests for longer after the signal than it should.

Change: Python's own signal handler records the time. It runs between two bytecodes, however busy the event loop is.

Result: test_stop_counted_from_its_notice failed before (no such time was kept) and passes: within 0.02 s of the signal, with turns of 0.05 s.

--- a/src/apricothinge/platform/host.py
+++ b/src/apricothinge/platform/host.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 import pathlib
 import signal
+import types
 from typing import Any, Final
 
 from apricothinge import errors
@@ -66,19 +67,32 @@
     Attributes:
         stopped: Done once SIGTERM or SIGINT has been received. Further ones
             have no effect.
+        stopped_at: Loop time in seconds at which the first of these came, or
+            None.
         reload_requested: Whether SIGHUP has been received since it was reset.
     """
 
-    __slots__ = ("stopped", "reload_requested")
+    __slots__ = ("stopped", "stopped_at", "reload_requested", "_loop")
 
     def __init__(self) -> None:
         loop = asyncio.get_running_loop()
+        self._loop = loop
+        self.stopped_at: float | None = None
         self.stopped: asyncio.Future[None] = loop.create_future()
         self.reload_requested = False
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signal_number, self._stop)
+            # The event loop calls its handlers by a file descriptor. Python
+            # calls this one at once, however busy the event loop is.
+            signal.signal(signal_number, self._record_stop)
         loop.add_signal_handler(signal.SIGHUP, self._request_reload)
 
+    def _record_stop(self, signal_number: int,
+                     frame: types.FrameType | None) -> None:
+        del signal_number, frame
+        if self.stopped_at is None:
+            self.stopped_at = self._loop.time()
+
     def _stop(self) -> None:
         if not self.stopped.done():
             self.stopped.set_result(None)
--- a/src/apricothinge/platform/node_process.py
+++ b/src/apricothinge/platform/node_process.py
@@ -34,6 +34,6 @@
     ).create_future()
     await host.reload_until_stopped(signals, settings_file, add_changed_seeds,
                                     never_fails)
-    await mesh_node.stop()
+    await mesh_node.stop(signals.stopped_at)
     for http_server in servers:
         http_server.abort()
--- a/tests/test_mesh_signals.py
+++ b/tests/test_mesh_signals.py
@@ -1,10 +1,15 @@
 """Tests of the signals that the processes of a mesh receive."""
 
+import asyncio
+import os
 import signal
 import time
+import unittest
 
 import msgspec
 
+from apricothinge import runtime
+from apricothinge.platform import host
 from tests import mesh_processes
 
 
@@ -49,3 +54,36 @@
         self.write_settings(changed)
         process.send_signal(signal.SIGTERM)
         self.assertEqual(0, process.wait(mesh_processes.TIMEOUT_S))
+
+
+class SignalTimeTest(unittest.TestCase):
+    """When a signal has come, as seen by a busy event loop."""
+
+    def setUp(self):
+        for signal_number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            self.addCleanup(signal.signal, signal_number,
+                            signal.getsignal(signal_number))
+
+    def test_stop_counted_from_its_notice(self):
+        """Turns of the loop do not delay the time of a signal."""
+        loop = runtime.new_event_loop()
+        self.addCleanup(loop.close)
+        sent_at = []
+
+        def busy(left):
+            time.sleep(0.05)
+            if left == 20:
+                sent_at.append(loop.time())
+                os.kill(os.getpid(), signal.SIGTERM)
+            if left:
+                loop.call_soon(busy, left - 1)
+
+        async def wait_for_stop():
+            signals = host.Signals()
+            loop.call_soon(busy, 30)
+            await signals.stopped
+            return signals.stopped_at, loop.time()
+
+        stopped_at, noticed_at = loop.run_until_complete(wait_for_stop())
+        self.assertLess(stopped_at - sent_at[0], 0.02)
+        self.assertGreater(noticed_at - sent_at[0], 0.05)
