--- a/src/apricothinge/web/server.py
+++ b/src/apricothinge/web/server.py
@@ -297,18 +297,20 @@
         if response is None:
             conn.abort()
             return False
-        refused = pipeline.RefusedRequests(conn.codec, head)
+        refused: pipeline.RefusedRequests | None = None
         try:
             self._discard_received_content(conn)
             if self.draining and not requests.started:
+                refused = pipeline.RefusedRequests(conn.codec, head)
                 refused.take()
-            await self._send_response(conn, request, response,
-                                      requests.started or bool(refused.methods))
+            await self._send_response(
+                conn, request, response, requests.started or
+                (refused is not None and bool(refused.methods)))
         except BaseException:
             response.discard()
             raise
         response.notify_done(True)
-        if refused.methods:
+        if refused is not None and refused.methods:
             return await self._refuse_requests(conn, refused)
         return await self._finish_exchange(conn)
 
