Keep the result of an attempt that ran beside a late refusal

What callers see: 503, which says that a request has not run, although an earlier attempt at another upstream may have run it.

Cause: when a node falls silent during a second attempt, only that attempt's result was kept; a refusal that the node sent late was returned as it is. The withdrawal of requests at a stop makes such refusals more frequent. Idempotent requests only, as only these are sent again after an attempt that may have run.

Change: the earlier result takes precedence, as it does without a silent node.

Result: test_late_refusal_hides_earlier_run failed before (not run: True) and passes. Also two sentences on the times of a Drain.

--- a/src/apricothinge/mesh/dispatch.py
+++ b/src/apricothinge/mesh/dispatch.py
@@ -140,6 +140,7 @@
             last = await self._send(target, upstream_request)
             if last.response is not None and last.error is None:
                 return last.response
+            earlier_run = last_run
             if last.may_have_run:
                 last_run = last
             if last.reached:
@@ -171,9 +172,14 @@
                           reached=last.reached,
                           error=None if last.error is None else last.error.code)
             if last.late_response is not None:
-                return await self._run_beside(last, upstream_request,
-                                              attempts if may_retry else 0,
-                                              height, tried)
+                try:
+                    return await self._run_beside(last, upstream_request,
+                                                  attempts if may_retry else 0,
+                                                  height, tried)
+                except errors.CallError as error:
+                    if error.not_run and earlier_run is not None:
+                        return self._conclude(earlier_run, service)
+                    raise
 
     async def _run_beside(self, silent: _AttemptResult,
                           upstream_request: upstream.UpstreamRequest,
--- a/src/apricothinge/overload/drain.py
+++ b/src/apricothinge/overload/drain.py
@@ -30,10 +30,13 @@
 class Drain:
     """The time left to a process that is being stopped.
 
+    The signal may have waited before it was noticed, and the process is killed
+    a fixed time after it. So what it takes on is measured from the earliest
+    time of the signal; what runs already goes on until the latest.
+
     Attributes:
-        signalled_at: Earliest time in seconds at which it can have been told to
-            stop. What it takes on has to end within the grace period from then.
-        cuts_at: Time in seconds at which it cuts what still runs.
+        signalled_at: Earliest time in seconds of the signal.
+        cuts_at: Latest time in seconds at which it cuts what still runs.
     """
 
     __slots__ = ("signalled_at", "cuts_at", "_ends_at", "_accepts_until")
--- a/tests/test_silent_nodes.py
+++ b/tests/test_silent_nodes.py
@@ -2,8 +2,13 @@
 
 import asyncio
 import time
+from unittest import mock
 
+from apricothinge import errors
+from apricothinge.mesh import dispatch
 from apricothinge.mesh import documents
+from apricothinge.mesh import upstream
+from apricothinge.web import messages
 from tests import mesh_builders
 from tests import mesh_fleet
 from tests import test_mesh_nodes
@@ -73,6 +78,26 @@
             len(upstream.request_heads) for upstream in self.mesh.upstreams[:2]
         ]
 
+    async def test_late_refusal_hides_earlier_run(self):
+        """A refusal by a silent node does not make an earlier attempt unrun."""
+        late = mock.Mock()
+        late.wait = mock.AsyncMock(
+            side_effect=errors.CallError(errors.Kind.DRAINING))
+        failed = errors.CallError(errors.Kind.UPSTREAM_FAILED)
+        results = [
+            dispatch._AttemptResult(failed, None, True),
+            dispatch._AttemptResult(failed, None, True, late)
+        ]
+        call = mesh_builders.call(1)
+        request = upstream.UpstreamRequest(
+            call, messages.Body(call.length, None, call.data),
+            asyncio.get_running_loop().time() + 5.0)
+        with mock.patch.object(dispatch.Dispatcher, "_send",
+                               mock.AsyncMock(side_effect=results)):
+            with self.assertRaises(errors.CallError) as caught:
+                await self.mesh.nodes[2]._dispatcher.run(request, 2)
+        self.assertFalse(caught.exception.not_run, caught.exception)
+
     async def test_idempotent_requests_are_hedged(self):
         """Requests at a node that falls silent are also sent to another one,
         long before the link counts as lost."""
