--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 DEPLOYMENT ?= manivela-sul
 BENCH_ARGS ?=
 
-.PHONY: demo test lint format bench proto
+.PHONY: demo test soak lint format bench proto
 
 $(READY): pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -20,6 +20,9 @@
 test: $(READY)
 	$(BIN)/python -m tests.run
 
+soak: $(READY)
+	$(BIN)/python -m tests.soak --seed 1 --seeds 4 --seconds 8
+
 lint: $(READY)
 	$(BIN)/yapf --diff --recursive --exclude '*_pb2*' src tests bench
 	$(BIN)/mypy
--- a/tests/mesh_fleet.py
+++ b/tests/mesh_fleet.py
@@ -91,10 +91,14 @@
     return None
 
 
-def make_answer(head, content=b"done", status=b"200 OK", request_id=None):
+def make_answer(head,
+                content=b"done",
+                status=b"200 OK",
+                request_id=None,
+                header_names=NAMES):
     """Builds a complete answer to a request, with the request's ID."""
-    answer_id = request_id or header_value(head, NAMES.request_id)
-    return (b"HTTP/1.1 " + status + b"\r\n" + NAMES.request_id + b": " +
+    answer_id = request_id or header_value(head, header_names.request_id)
+    return (b"HTTP/1.1 " + status + b"\r\n" + header_names.request_id + b": " +
             answer_id + b"\r\ncontent-length: %d\r\n\r\n" % len(content) +
             content)
 
@@ -251,12 +255,13 @@
                  content=b"",
                  request_id=b"q1",
                  headers=(),
-                 deadline_ms=3000):
+                 deadline_ms=3000,
+                 header_names=NAMES):
     """Builds a request of a caller."""
     lines = [
         b"%s %s HTTP/1.1" % (method.encode(), path.encode()), b"Host: h",
-        NAMES.request_id + b": " + request_id,
-        NAMES.deadline_ms + b": %d" % deadline_ms
+        header_names.request_id + b": " + request_id,
+        header_names.deadline_ms + b": %d" % deadline_ms
     ]
     lines += [name + b": " + value for name, value in headers]
     if content:
