--- a/src/apricothinge/mesh/entry.py
+++ b/src/apricothinge/mesh/entry.py
@@ -80,29 +80,37 @@
         try:
             return await self._handle(request, pending_request)
         except errors.CallError as error:
-            if error.retry_after_s:
-                error.retry_after_s = self._add_jitter(error.retry_after_s)
-            log.event("request:refused" if error.not_run else "request:failed",
-                      request=request_id,
-                      target=request.target,
-                      code=error.code,
-                      detail=error.detail,
-                      retry_after_s=round(error.retry_after_s, 3),
-                      revision=self._state.revision)
-            self._state.metrics.refusals.labels("entry", "", "",
-                                                error.code).inc()
+            self._record_error(request, request_id, error)
             raise
         except asyncio.CancelledError:
-            pending_request.log_unanswered(self._loop.time(),
-                                           self._state.pending.stopped_at)
+            if pending_request.consume_withdrawal():
+                withdrawal = errors.CallError(errors.Kind.DRAINING,
+                                              retry_after_s=_DRAINING_RETRY_S)
+                self._record_error(request, request_id, withdrawal)
+                raise withdrawal from None
+            pending_request.log_unanswered(self._loop.time(), self._state.drain)
             raise
         finally:
             self._state.pending.remove(pending_request)
 
+    def _record_error(self, request: messages.Request, request_id: str,
+                      error: errors.CallError) -> None:
+        """Adds jitter to the retry time, and logs and counts the error."""
+        if error.retry_after_s:
+            error.retry_after_s = self._add_jitter(error.retry_after_s)
+        log.event("request:refused" if error.not_run else "request:failed",
+                  request=request_id,
+                  target=request.target,
+                  code=error.code,
+                  detail=error.detail,
+                  retry_after_s=round(error.retry_after_s, 3),
+                  revision=self._state.revision)
+        self._state.metrics.refusals.labels("entry", "", "", error.code).inc()
+
     def may_run_ahead(self, request: messages.Request) -> bool:
         """Returns whether a request is idempotent by its route."""
         compiled = self._state.compiled
-        if compiled is None or self._state.closed:
+        if compiled is None or self._state.draining:
             return False
         try:
             route = self._find_route(compiled, request)
@@ -118,11 +126,9 @@
             self, request: messages.Request,
             pending_request: pending.PendingRequest) -> messages.Response:
         compiled = self._current_document()
-        if self._state.closed:
-            raise errors.CallError(errors.Kind.DRAINING,
-                                   retry_after_s=_DRAINING_RETRY_S)
         route = self._find_route(compiled, request)
         organisation = self._authenticate(compiled, route, request)
+        self._check_drain(route, request)
         body = request.body
         limit = compiled.document.limits.body_bytes
         if body.length is not None and body.length > limit:
@@ -142,10 +148,14 @@
                 compiled = self._current_document()
                 route = self._find_route(compiled, request)
                 organisation = self._authenticate(compiled, route, request)
+            # The node may have been stopped while the request waited.
+            self._check_drain(route, request)
             upstream_request = self._make_upstream_request(
                 compiled, route, organisation, request,
                 pending_request.request_id)
             pending_request.upstream_request = upstream_request
+            upstream_request.start_by = self._state.start_by(
+                upstream_request.call)
             pending_request.stage = pending.Stage.RESPONSE
             if self._state.crash_table.is_blocked(
                     self._loop.time(), upstream_request.call.fingerprint):
@@ -163,6 +173,22 @@
                 self._state.token_pool.refund(charged_organisation)
             raise
 
+    def _check_drain(self, route: documents.Route,
+                     request: messages.Request) -> None:
+        """Refuses a request that a stop of this node would probably cut.
+
+        Raises:
+            errors.CallError: DRAINING.
+        """
+        stop = self._state.drain
+        if stop is None:
+            return
+        if not stop.accepts(
+                self._loop.time(), self._deadline(route, request),
+                self._state.expected_s(route.name, route.latency_objective_s)):
+            raise errors.CallError(errors.Kind.DRAINING,
+                                   retry_after_s=_DRAINING_RETRY_S)
+
     def _current_document(self) -> documents.CompiledDocument:
         compiled = self._state.compiled
         if compiled is None:
@@ -204,12 +230,9 @@
             upstream_request: upstream.UpstreamRequest) -> messages.Response:
         call = upstream_request.call
         started_at = self._loop.time()
-        self._state.running += 1
-        try:
-            response = await self._dispatcher.run(upstream_request,
-                                                  route.attempts)
-        finally:
-            self._state.running -= 1
+        response = await self._dispatcher.run(upstream_request, route.attempts)
+        took_s = self._loop.time() - started_at
+        self._state.response_times.record(call.route, took_s)
         self._state.metrics.calls.labels("entry", call.service, str(call.rank),
                                          f"{response.status // 100}xx").inc()
         log.event("request:answered",
@@ -218,7 +241,7 @@
                   service=call.service,
                   rank=call.rank,
                   status=response.status,
-                  took_s=round(self._loop.time() - started_at, 4),
+                  took_s=round(took_s, 4),
                   revision=self._state.revision)
         return response
 
--- a/src/apricothinge/mesh/pending.py
+++ b/src/apricothinge/mesh/pending.py
@@ -1,9 +1,12 @@
 """Requests of this machine that have been accepted and not answered yet."""
 
+import asyncio
+from collections.abc import Iterator
 from typing import Final
 
 from apricothinge import log
 from apricothinge.mesh import upstream
+from apricothinge.overload import drain
 
 __all__ = ["PendingRequest", "PendingRequests", "Stage"]
 
@@ -25,31 +28,53 @@
         stage: What it waits for.
         upstream_request: The request as it is sent to upstreams, or None before
             the stage RESPONSE.
+        withdrawn: Whether it is to be refused if no upstream has it.
     """
 
-    __slots__ = ("request_id", "accepted_at", "stage", "upstream_request")
+    __slots__ = ("request_id", "accepted_at", "stage", "upstream_request",
+                 "withdrawn", "_task")
 
     def __init__(self, request_id: str, accepted_at: float) -> None:
+        self.withdrawn = False
+        self._task = asyncio.current_task()
         self.request_id = request_id
         self.accepted_at = accepted_at
         self.stage = Stage.RATE
         self.upstream_request: upstream.UpstreamRequest | None = None
 
-    def log_unanswered(self, now: float, stopped_at: float | None) -> None:
+    def withdraw(self) -> None:
+        """Has the request refused as not run unless an upstream has it."""
+        if self.withdrawn:
+            return
+        self.withdrawn = True
+        if self.upstream_request is not None:
+            self.upstream_request.withdraw()
+        elif self._task is not None:
+            self._task.cancel()
+
+    def consume_withdrawal(self) -> bool:
+        """Returns whether the handler was cancelled by `withdraw`."""
+        if not self.withdrawn or self.upstream_request is not None:
+            return False
+        if self._task is not None:
+            self._task.uncancel()
+        return True
+
+    def log_unanswered(self, now: float, stop: drain.Drain | None) -> None:
         """Logs that the request ends without a response.
 
         Args:
             now: Loop time in seconds.
-            stopped_at: When the process was told to stop, or None if the caller
-                has gone away.
+            stop: Given if the process is being stopped.
         """
         sent = self.upstream_request
-        log.event("request:cancelled" if stopped_at is None else "request:cut",
+        log.event("request:cancelled"
+                  if stop is None or now < stop.cuts_at else "request:cut",
                   request=self.request_id,
                   stage=self.stage,
                   took_s=round(now - self.accepted_at, 4),
-                  accepted_after_stop_s=None if stopped_at is None else round(
-                      self.accepted_at - stopped_at, 4),
+                  accepted_after_stop_s=None if stop is None else round(
+                      self.accepted_at - stop.signalled_at, 4),
                   route="" if sent is None else sent.call.route,
                   service="" if sent is None else sent.call.service,
                   attempts=0 if sent is None else sent.attempts,
@@ -59,19 +84,17 @@
 
 
 class PendingRequests:
-    """The pending requests of a node.
+    """The pending requests of a node."""
 
-    Attributes:
-        stopped_at: Loop time in seconds at which the process was told to stop,
-            or None.
-    """
-
-    __slots__ = ("stopped_at", "_requests")
+    __slots__ = ("_requests",)
 
     def __init__(self) -> None:
-        self.stopped_at: float | None = None
         self._requests: set[PendingRequest] = set()
 
+    def __iter__(self) -> Iterator[PendingRequest]:
+        """Iterates over a copy, as requests end when they are withdrawn."""
+        return iter(list(self._requests))
+
     def __len__(self) -> int:
         """Returns the number of pending requests."""
         return len(self._requests)
--- a/src/apricothinge/mesh/state.py
+++ b/src/apricothinge/mesh/state.py
@@ -2,19 +2,26 @@
 
 import asyncio
 from collections.abc import Callable
+import math
+from typing import Final
 
 from apricothinge import log
 from apricothinge import metrics
+from apricothinge.link import frames
 from apricothinge.mesh import documents
 from apricothinge.mesh import evacuations
 from apricothinge.mesh import names
 from apricothinge.mesh import pending
 from apricothinge.mesh import tokens
 from apricothinge.overload import crashes
+from apricothinge.overload import drain
 
 __all__ = ["NodeState"]
 
 _CRASH_LIMIT: int = 3
+# Response time that is assumed of a route that has not been used yet, relative
+# to its latency objective.
+_OBJECTIVE_FRACTION: Final = 0.5
 
 
 class NodeState:
@@ -25,18 +32,17 @@
         compiled: The desired state in force, or None.
         token_pool: Rate limit tokens of the organisations.
         crash_table: Requests suspected of crashing upstreams.
-        running: Number of requests from this machine in progress.
         pending: Requests from this machine that have no response yet.
-        draining: Whether the node is shutting down.
-        closed: Whether new requests from this machine are refused.
+        response_times: Response times of requests from this machine by route.
+        drain: The time left once the node is being stopped, or None before.
         report_due: Set when there is something to report to control.
         evacuations: Failure domains that operators have emptied.
         on_evacuations: Called when these have changed.
         metrics: Metrics of the node.
     """
 
-    __slots__ = ("names", "compiled", "token_pool", "crash_table", "running",
-                 "pending", "draining", "closed", "report_due", "metrics",
+    __slots__ = ("names", "compiled", "token_pool", "crash_table", "pending",
+                 "response_times", "drain", "report_due", "metrics",
                  "evacuations", "on_evacuations", "_configured_service",
                  "_announced_service")
 
@@ -48,15 +54,39 @@
         self.compiled: documents.CompiledDocument | None = None
         self.token_pool = tokens.TokenPool(asyncio.get_running_loop().time())
         self.crash_table = crashes.CrashTable(_CRASH_LIMIT)
-        self.running = 0
         self.pending = pending.PendingRequests()
-        self.draining = False
-        self.closed = False
+        self.response_times = drain.ResponseTimes()
+        self.drain: drain.Drain | None = None
         self.report_due = asyncio.Event()
         self.metrics = metrics.NodeMetrics()
         self._configured_service = service
         self._announced_service = ""
 
+    @property
+    def draining(self) -> bool:
+        """Whether the node is being stopped."""
+        return self.drain is not None
+
+    def expected_s(self, route: str, objective_s: float) -> float:
+        """Returns an upper estimate of the response time of a route.
+
+        Args:
+            route: Name of the route.
+            objective_s: Its latency objective in seconds.
+        """
+        return self.response_times.upper_s(route,
+                                           objective_s * _OBJECTIVE_FRACTION)
+
+    def start_by(self, call: frames.Call) -> float:
+        """Returns when a request of this machine has to be at an upstream.
+
+        Infinite unless the node is being stopped; loop time in seconds.
+        """
+        if self.drain is None:
+            return math.inf
+        return self.drain.start_by(self.expected_s(call.route,
+                                                   call.objective_s))
+
     @property
     def service(self) -> str:
         """The service that runs on this machine."""
