--- a/tests/mesh_processes.py
+++ b/tests/mesh_processes.py
@@ -136,7 +136,9 @@
         code = self._handle.returncode
         if not code or any(end > self.stopped_at for _, end in self.pauses):
             return None
-        return f"code {code} {loop.time() - self.stopped_at:.2f} s after SIGTERM"
+        last_line = self._path.with_suffix(".log").read_text().splitlines()[-1:]
+        return (f"code {code} {loop.time() - self.stopped_at:.2f} s after"
+                f" SIGTERM; last line {last_line}")
 
     async def kill(self):
         """Kills the process, if it was started, and waits for its end."""
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -379,14 +379,13 @@
     return mesh_builders.state_text(f"r{version}", rows, tenants=tenants)
 
 
-def _log_lines(folder, name):
-    """Returns the last log lines of an instance, or those on a request."""
+def _log_lines(folder, request_id):
+    """Returns the last log lines of each instance on a request."""
     for path in sorted(folder.glob("*.log")):
-        lines = path.read_text().splitlines()
-        if "." in name:
-            lines = [line for line in lines if f'"request":"{name}"' in line]
-        elif name != path.stem:
-            continue
+        lines = [
+            line for line in path.read_text().splitlines()
+            if f'"request":"{request_id}"' in line
+        ]
         yield from (f"    {path.stem}: {line}" for line in lines[-3:])
 
 
