Ignore signals while a process of a mesh exits

What operators see: a process that has stopped gracefully ends with -15.

Cause: the event loop restores the default action of its signals when it is closed; a further SIGTERM then kills the interpreter on its way out.

Change: at the end of a stop the signals are ignored.

--- a/src/apricothinge/platform/control_process.py
+++ b/src/apricothinge/platform/control_process.py
@@ -43,3 +43,4 @@
             await http_server.drain()
     http_server.abort()
     await mesh_control.stop()
+    signals.ignore()
--- a/src/apricothinge/platform/host.py
+++ b/src/apricothinge/platform/host.py
@@ -87,6 +87,15 @@
             signal.signal(signal_number, self._record_stop)
         loop.add_signal_handler(signal.SIGHUP, self._request_reload)
 
+    def ignore(self) -> None:
+        """Ignores further signals until the process has ended.
+
+        The event loop would restore their default action when it is closed.
+        """
+        for signal_number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            self._loop.remove_signal_handler(signal_number)
+            signal.signal(signal_number, signal.SIG_IGN)
+
     def _record_stop(self, signal_number: int,
                      frame: types.FrameType | None) -> None:
         del signal_number, frame
--- a/src/apricothinge/platform/node_process.py
+++ b/src/apricothinge/platform/node_process.py
@@ -37,3 +37,4 @@
     await mesh_node.stop(signals.stopped_at)
     for http_server in servers:
         http_server.abort()
+    signals.ignore()
--- a/tests/test_mesh_signals.py
+++ b/tests/test_mesh_signals.py
@@ -87,3 +87,15 @@
         stopped_at, noticed_at = loop.run_until_complete(wait_for_stop())
         self.assertLess(stopped_at - sent_at[0], 0.02)
         self.assertGreater(noticed_at - sent_at[0], 0.05)
+
+    def test_signal_during_exit_changes_exit_code(self):
+        """A signal after the end of the stop does not kill the process."""
+        loop = runtime.new_event_loop()
+
+        async def stop():
+            host.Signals().ignore()
+
+        loop.run_until_complete(stop())
+        loop.close()
+        for signal_number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            self.assertIs(signal.getsignal(signal_number), signal.SIG_IGN)
