Leave a stopping node enough time to exit

What was seen: nodes that are still there at the end of the grace period and are killed, with what they have.

Cause: the node cut what still ran at 95% of the grace period. Then followed up to 0.05 s of polling, 0.2 s for last responses, and the end of the interpreter, at 5.95 to 5.98 s of 6 on an idle machine. The time counted from when the stop began, not from the signal.

Change: half a second before the end, or an eighth of a short grace period, is left for the exit, counted from the signal; half of it for last responses. The last sixth of the grace period, until which callers may expect requests to be worked on, has begun by then.

--- a/src/apricothinge/mesh/node.py
+++ b/src/apricothinge/mesh/node.py
@@ -411,11 +411,11 @@
             signalled_at: Loop time in seconds of the stop signal; now if None.
         """
         now = self._loop.time()
+        noticed_at = now if signalled_at is None else signalled_at
         # A process that was paused finds a signal of any time since its last
         # tick.
-        signalled_at = min(now if signalled_at is None else signalled_at,
-                           self._last_tick_at)
-        stop = drain.Drain(signalled_at, now, self._settings.grace_s)
+        stop = drain.Drain(min(noticed_at, self._last_tick_at), noticed_at,
+                           self._settings.grace_s)
         log.event("node:draining",
                   running=len(self.state.pending),
                   noticed_s=round(now - stop.signalled_at, 4))
@@ -446,7 +446,7 @@
             self._tick_task.cancel()
         # Callers that have just sent a request still get their response.
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(_FINAL_DRAIN_S):
+            async with asyncio.timeout(min(_FINAL_DRAIN_S, stop.exit_s / 2)):
                 await self._caller_server.drain()
         self._caller_server.abort()
         self._admin_server.abort()
--- a/src/apricothinge/overload/drain.py
+++ b/src/apricothinge/overload/drain.py
@@ -14,8 +14,10 @@
 # ready, and the platform expects it to take requests for that long.
 _MAX_ACCEPT_S: Final = 3.0
 _ACCEPT_FRACTION: Final = 0.5
-# The rest of the grace period is left for the process to exit.
-_GRACE_FRACTION: Final = 0.95
+# Left for the last responses and the exit of the process, which a busy machine
+# delays; less of a short grace period, relative to it.
+_MAX_EXIT_S: Final = 0.5
+_EXIT_FRACTION: Final = 0.125
 # A refusal may have to come from another node first.
 _MIN_EXPECTED_S: Final = 0.25
 # An upstream that enforces the deadline itself responds shortly after it.
@@ -37,9 +39,10 @@
     Attributes:
         signalled_at: Earliest time in seconds of the signal.
         cuts_at: Latest time in seconds at which it cuts what still runs.
+        exit_s: Seconds left to the process from then on.
     """
 
-    __slots__ = ("signalled_at", "cuts_at", "_ends_at", "_accepts_until")
+    __slots__ = ("signalled_at", "cuts_at", "exit_s", "_ends_at", "_accepts_until")
 
     def __init__(self, signalled_at: float, noticed_at: float,
                  grace_s: float) -> None:
@@ -51,8 +54,9 @@
             grace_s: Seconds after the signal at which the process is killed.
         """
         self.signalled_at = signalled_at
-        self.cuts_at = noticed_at + grace_s * _GRACE_FRACTION
-        self._ends_at = signalled_at + grace_s * _GRACE_FRACTION
+        self.exit_s = min(_MAX_EXIT_S, grace_s * _EXIT_FRACTION)
+        self.cuts_at = noticed_at + grace_s - self.exit_s
+        self._ends_at = signalled_at + grace_s - self.exit_s
         self._accepts_until = signalled_at + min(_MAX_ACCEPT_S,
                                                  grace_s * _ACCEPT_FRACTION)
 
