Answer what waits behind a request that a stop cuts

What callers saw: a request that had been read behind another one on the same connection got no response when the first was cut at the end of the grace period, although it had not run, or its response was ready.

Cause: responses go out in order, and the first one was cut with its connection.

Change: at the end, a handler with requests behind it is ended, and its request gets a response that says nothing of its outcome. Responses that are ready follow, then refusals as not run of what has not started. A request with none behind it goes on as before.

--- a/src/apricothinge/mesh/node.py
+++ b/src/apricothinge/mesh/node.py
@@ -441,6 +441,7 @@
         log.event("node:stopped",
                   running=len(self.state.pending),
                   waited_s=round(self._loop.time() - now, 4))
+        self._caller_server.give_up()
         await self._attachment.stop()
         if self._tick_task is not None:
             self._tick_task.cancel()
--- a/src/apricothinge/node/process.py
+++ b/src/apricothinge/node/process.py
@@ -284,6 +284,7 @@
     async def _give_up(self) -> None:
         """Refuses what was not sent, and cuts what still runs."""
         self.state.refuse_waiting(self._loop.time())
+        self._caller_server.give_up()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(_REFUSAL_S):
                 await asyncio.gather(self._peer_server.drain(),
--- a/src/apricothinge/web/pipeline.py
+++ b/src/apricothinge/web/pipeline.py
@@ -46,10 +46,11 @@
     Attributes:
         first: The request behind which others may start if the handler permits
             it as well, or None. The handler is asked only once others arrive.
+        on_give_up: Ends the handler whose turn it is, or None if none runs.
     """
 
-    __slots__ = ("first", "_conn", "_build", "_may_start", "_start", "_started",
-                 "_closing")
+    __slots__ = ("first", "on_give_up", "_conn", "_build", "_may_start",
+                 "_start", "_started", "_closing")
 
     def __init__(
         self, conn: connection.Connection, build: Callable[[wire.MessageHead],
@@ -67,6 +68,7 @@
             start: Starts the handler of a request.
         """
         self.first: messages.Request | None = None
+        self.on_give_up: Callable[[], None] | None = None
         self._conn = conn
         self._build = build
         self._may_start = may_start
@@ -79,6 +81,18 @@
         """Whether requests have started whose turn has not come."""
         return bool(self._started)
 
+    def give_up(self) -> None:
+        """Ends the handler whose turn it is if other requests wait behind it.
+
+        They could not be answered before it.
+        """
+        codec = self._conn.codec
+        waiting = self._started or (codec.receiving is not wire.Stage.CONTENT
+                                    and self._conn.has_unread_input())
+        end_handler = self.on_give_up
+        if waiting and end_handler is not None:
+            end_handler()
+
     def advance(self) -> None:
         """Starts the received requests that need not wait for their turn."""
         if self.first is None:
--- a/src/apricothinge/web/server.py
+++ b/src/apricothinge/web/server.py
@@ -89,7 +89,8 @@
 
     __slots__ = ("_handler", "_limits", "_listener", "_sessions", "draining",
                  "_idle_connections", "_cancel_on_half_close", "_loop",
-                 "_connections", "_input_age_s", "_aborted")
+                 "_connections", "_input_age_s", "_aborted", "_giving_up",
+                 "_pipeline_by_connection")
 
     def __init__(self,
                  handler: Handler,
@@ -118,6 +119,9 @@
         self._connections: set[connection.Connection] = set()
         self.draining = False
         self._aborted = False
+        self._giving_up = False
+        self._pipeline_by_connection: dict[connection.Connection,
+                                           pipeline.Pipeline] = {}
 
     @property
     def busy_connections(self) -> int:
@@ -200,6 +204,17 @@
         for conn in conn_by_descriptor.values():
             conn.close()
 
+    def give_up(self) -> None:
+        """Answers requests that wait behind one that still runs.
+
+        That one gets a response that says nothing of its outcome. Called right
+        before `drain` and `abort`; requests with none behind them still run.
+        """
+        self.draining = True
+        self._giving_up = True
+        for requests in list(self._pipeline_by_connection.values()):
+            requests.give_up()
+
     def abort(self) -> None:
         """Stops at once and aborts the exchanges in progress."""
         self.draining = True
@@ -219,6 +234,7 @@
                 request), lambda request: asyncio.ensure_future(
                     self._handler.handle(request)))
         conn.on_input = requests.advance
+        self._pipeline_by_connection[conn] = requests
         try:
             while await self._exchange(conn, requests):
                 conn.codec.start_next_exchange()
@@ -240,6 +256,7 @@
             conn.close()
             self._idle_connections.discard(conn)
             self._connections.discard(conn)
+            del self._pipeline_by_connection[conn]
             await requests.close()
 
     async def _read_head(self, conn: connection.Connection) -> Any:
@@ -293,7 +310,7 @@
                 requests.first = request
             running = self._handler.handle(request)
         requests.advance()
-        response = await self._run_handler(conn, running)
+        response = await self._run_handler(conn, requests, running)
         if response is None:
             conn.abort()
             return False
@@ -315,8 +332,13 @@
         return await self._finish_exchange(conn)
 
     async def _run_handler(self, conn: connection.Connection,
+                           requests: pipeline.Pipeline,
                            running: _Running) -> messages.Response | None:
         """Awaits a handler; returns None if the client disconnected."""
+        if (self._giving_up and isinstance(running, asyncio.Task) and
+                not running.done()):
+            await _abandon(running)
+            return _given_up_response()
         task = asyncio.current_task()
         assert task is not None
         client_gone = False
@@ -331,6 +353,15 @@
                 client_gone = True
                 task.cancel()
 
+        given_up = False
+
+        def give_up() -> None:
+            nonlocal given_up
+            if handling and not given_up and not client_gone:
+                given_up = True
+                task.cancel()
+
+        requests.on_give_up = give_up
         conn.on_disconnect = cancel_handler
         if conn.closed or (conn.input_ended and self._cancel_on_half_close and
                            not conn.has_unread_input()):
@@ -350,17 +381,20 @@
             error.not_run = False
             return error_response(error)
         except asyncio.CancelledError:
-            if client_gone:
+            if client_gone or given_up:
                 task.uncancel()
             await _abandon(running)
-            if not client_gone:
-                raise
-            return None
+            if client_gone:
+                return None
+            if given_up:
+                return _given_up_response()
+            raise
         except Exception:  # pylint: disable=broad-exception-caught
             eliot.write_traceback()
             return error_response(errors.CallError(errors.Kind.INTERNAL))
         finally:
             handling = False
+            requests.on_give_up = None
             conn.on_disconnect = None
 
     def _build_request(self, event: wire.MessageHead) -> messages.Request:
@@ -600,6 +634,12 @@
                     received_bytes += conn.read_ahead_bytes
 
 
+def _given_up_response() -> messages.Response:
+    return error_response(
+        errors.CallError(errors.Kind.DEADLINE_EXCEEDED,
+                         "the process ended before the response"))
+
+
 async def _abandon(running: _Running) -> None:
     """Ends a handler whose response cannot be sent any more."""
     if isinstance(running, asyncio.Task):
--- a/tests/test_server_stop.py
+++ b/tests/test_server_stop.py
@@ -34,7 +34,7 @@
         await request.body.buffer(1 << 20)
         if request.target == "/large":
             return messages.Response(200, [], _LARGE)
-        await asyncio.sleep(0.1)
+        await asyncio.sleep(30.0 if "hang" in request.target else 0.1)
         return messages.Response(200, [], request.target.encode())
 
     def may_run_ahead(self, request):
@@ -106,6 +106,29 @@
         self._check_refused_behind(await self._read_replies(), 2, 2)
         await drained
 
+    async def test_requests_lost_behind_one_that_is_cut(self):
+        """At the end, what waits behind a request that runs is answered."""
+        self.writer.write(
+            _get("/ahead/hang1") + _get("/ahead2") + _get("/ahead/hang3") +
+            _post("/4"))
+        await self.handler.started.wait()
+        await asyncio.sleep(0.2)
+        self.server.give_up()
+        replies = await self._read_replies()
+        self.assertEqual([reply.status for reply in replies],
+                         [504, 200, 504, 503])
+        self.assertEqual([reply.not_run for reply in replies],
+                         [False, False, False, True])
+        self.assertEqual(len(self.handler.targets), 3)
+
+    async def test_single_request_goes_on_when_others_are_given_up(self):
+        """A request with none behind it is not ended early."""
+        self.writer.write(_get("/1"))
+        await self.handler.started.wait()
+        self.server.give_up()
+        self.assertEqual([reply.status for reply in await self._read_replies()],
+                         [200])
+
     async def test_endless_pipelining(self):
         """A client that keeps sending does not keep its connection open."""
         self.writer.write(_get("/1"))
