--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -1,11 +1,9 @@
 """Tests of the daemon and the command line as separate processes."""
 
-import contextlib
 import json
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -17,20 +15,12 @@
 from apricothinge import keys
 from apricothinge import settings
 from tests import builders
+from tests import mesh_processes
 
 _BIN = pathlib.Path(sys.executable).parent
 _TIMEOUT_S = 60.0
 
 
-def _free_ports(count):
-    """Returns ports that are free, unless another process takes them."""
-    with contextlib.ExitStack() as stack:
-        probes = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for probe in probes:
-            probe.bind(("127.0.0.1", 0))
-        return [probe.getsockname()[1] for probe in probes]
-
-
 class ProcessCase(unittest.TestCase):
     """Starts daemons and runs the command line."""
 
@@ -40,7 +30,7 @@
         self.path = pathlib.Path(folder.name)
         self.running = {}
         self.addCleanup(self._kill_processes)
-        ports = _free_ports(6)
+        ports = mesh_processes.free_ports(6)
         self.addresses = {
             f"c{i}": settings.Address("127.0.0.1", port)
             for i, port in enumerate(ports[:3])
