--- a/src/apricothinge/overload/drain.py
+++ b/src/apricothinge/overload/drain.py
@@ -42,7 +42,8 @@
         exit_s: Seconds left to the process from then on.
     """
 
-    __slots__ = ("signalled_at", "cuts_at", "exit_s", "_ends_at", "_accepts_until")
+    __slots__ = ("signalled_at", "cuts_at", "exit_s", "_ends_at",
+                 "_accepts_until")
 
     def __init__(self, signalled_at: float, noticed_at: float,
                  grace_s: float) -> None:
