--- a/src/apricothinge/web/pipeline.py
+++ b/src/apricothinge/web/pipeline.py
@@ -12,12 +12,16 @@
 from apricothinge.web import messages
 from apricothinge.web import wire
 
-__all__ = ["Pipeline", "RefusedRequests", "StartedRequest"]
+__all__ = ["Pipeline", "RefusedRequests", "StartedRequest", "ignore_give_up"]
 
 # Each started request may hold a response in memory until its turn.
 _MAX_STARTED: Final = 8
 
 
+def ignore_give_up() -> None:
+    """Default of `Pipeline.on_give_up`, while no handler runs."""
+
+
 class StartedRequest:
     """A request that was started before its turn.
 
@@ -46,7 +50,7 @@
     Attributes:
         first: The request behind which others may start if the handler permits
             it as well, or None. The handler is asked only once others arrive.
-        on_give_up: Ends the handler whose turn it is, or None if none runs.
+        on_give_up: Ends the handler whose turn it is, if one runs.
     """
 
     __slots__ = ("first", "on_give_up", "_conn", "_build", "_may_start",
@@ -68,7 +72,7 @@
             start: Starts the handler of a request.
         """
         self.first: messages.Request | None = None
-        self.on_give_up: Callable[[], None] | None = None
+        self.on_give_up: Callable[[], None] = ignore_give_up
         self._conn = conn
         self._build = build
         self._may_start = may_start
@@ -89,9 +93,8 @@
         codec = self._conn.codec
         waiting = self._started or (codec.receiving is not wire.Stage.CONTENT
                                     and self._conn.has_unread_input())
-        end_handler = self.on_give_up
-        if waiting and end_handler is not None:
-            end_handler()
+        if waiting:
+            self.on_give_up()
 
     def advance(self) -> None:
         """Starts the received requests that need not wait for their turn."""
--- a/src/apricothinge/web/server.py
+++ b/src/apricothinge/web/server.py
@@ -394,7 +394,7 @@
             return error_response(errors.CallError(errors.Kind.INTERNAL))
         finally:
             handling = False
-            requests.on_give_up = None
+            requests.on_give_up = pipeline.ignore_give_up
             conn.on_disconnect = None
 
     def _build_request(self, event: wire.MessageHead) -> messages.Request:
