Show that a server which has left is used again after all were killed

Cause: nodes keep in memory alone that a server has deregistered, and after all of them have been killed a late check-in is believed.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -48,9 +48,9 @@
         del content
         writer.write(self.response_head(head, _PIECE_BYTES * _PIECES))
         for _ in range(_PIECES):
+            await asyncio.sleep(_PIECE_INTERVAL_S)
             writer.write(b"x" * _PIECE_BYTES)
             await writer.drain()
-            await asyncio.sleep(_PIECE_INTERVAL_S)
 
 
 async def _case(record, folder, started):
--- a/review/standins.py
+++ b/review/standins.py
@@ -475,6 +475,12 @@
                 async with asyncio.timeout(_BEAT_INTERVAL_S):
                     await self._wake.wait()
 
+    def stop_beats(self):
+        """Sends no more check-ins; returns one that is still on its way."""
+        self._beat_task.cancel()
+        self._sequence += 1
+        return self.beat_content(self._sequence, "ready")
+
     async def drain(self):
         """Reports `draining` and returns when that is acknowledged."""
         self._state = "draining"
