Show that a body without end is passed on past every time limit

Cause: each piece of a response's content may arrive until the deadline or one second from now, whichever is later, so content that keeps coming never ends.

--- /dev/null
+++ b/review/5/case.py
@@ -0,0 +1,86 @@
+"""A server in trouble sends a body without end."""
+
+import asyncio
+import pathlib
+import sys
+
+FOLDER = pathlib.Path(__file__).resolve().parent
+sys.path.insert(0, str(FOLDER.parent))
+
+import standins  # pylint: disable=wrong-import-position
+
+_SETTLE_S = standins.STABLE_WINDOW_S + 1.0
+_TIMEOUT_S = 3.0
+_CLIENT_LIMIT_S = 15.0
+# The rule: no final answer half a second after the timeout of the route.
+_LATE_S = 0.5
+_REQUESTS = 12
+_MIN_UNANSWERED = 8
+_PIECE_BYTES = 16_384
+_PIECE_INTERVAL_S = 0.05
+_SOUND_PIECES = 20
+_ROUTES = [{
+    "name": "reports",
+    "hostname": "shop.example",
+    "pathPrefix": "/reports/",
+    "routeType": "idempotent",
+    "timeoutS": _TIMEOUT_S,
+    "sloLatencyS": 2,
+    "priority": 0,
+    "maxAttempts": 2,
+    "service": "reports"
+}]
+_SERVICES = [{
+    "name": name,
+    "healthPath": "/health",
+    "maxConns": 200,
+    "protocol": "h1",
+    "tls": False
+} for name in ("reports", "front")]
+
+
+class _ReportServer(standins.Server):
+    """Sends pieces of a body; without trouble, twenty of them."""
+
+    async def respond(self, head, content, writer):
+        del content
+        if standins.with_trouble():
+            piece = b"%x\r\n%s\r\n" % (_PIECE_BYTES, b"?" * _PIECE_BYTES)
+            writer.write(self.response_head(head, None))
+            while True:
+                writer.write(piece)
+                await writer.drain()
+                await asyncio.sleep(_PIECE_INTERVAL_S)
+        writer.write(self.response_head(head, _PIECE_BYTES * _SOUND_PIECES))
+        for _ in range(_SOUND_PIECES):
+            await asyncio.sleep(_PIECE_INTERVAL_S)
+            writer.write(b"x" * _PIECE_BYTES)
+            await writer.drain()
+
+
+async def _case(record, folder, started):
+    mesh = standins.Mesh(folder, record, ["front", "reports"])
+    started(mesh)
+    await mesh.start()
+    await mesh.replace_state(1, 0, _ROUTES, _SERVICES)
+    await mesh.wait_until_ready()
+    server = _ReportServer(record, mesh.nodes[1], "reports", "reports-a")
+    await server.start()
+    await asyncio.sleep(_SETTLE_S)
+    client = standins.Client(record, mesh.nodes[0])
+    answers = await asyncio.gather(*(
+        client.send("GET", f"/reports/{i}", limit_s=_CLIENT_LIMIT_S)
+        for i in range(_REQUESTS)))
+    if len(server.runs) < _REQUESTS:
+        raise standins.NotRun(f"only {len(server.runs)} requests have run")
+    unanswered = [
+        answer for answer in answers
+        if answer.ended_at > answer.sent_at + _TIMEOUT_S + _LATE_S
+    ]
+    record(f"{len(unanswered)} of {len(answers)} requests had no final answer"
+           f" {_LATE_S} s after the timeout of {_TIMEOUT_S} s;"
+           f" {sum(answer.complete for answer in answers)} were complete")
+    return len(unanswered) < _MIN_UNANSWERED
+
+
+standins.run_case(FOLDER, _case)
