--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,10 +1,8 @@
-"""A check-in of another writer names a service that does not exist."""
+"""A server that starts again under its id reports a planned stop."""
 
 import asyncio
-import json
 import pathlib
 import sys
-import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
@@ -12,98 +10,95 @@
 import standins  # pylint: disable=wrong-import-position
 
 _SETTLE_S = standins.STABLE_WINDOW_S + 1.0
-_REQUESTS = 20
-
-
-def _route(name):
-    return {
-        "name": name,
-        "hostname": "shop.example",
-        "pathPrefix": f"/{name}/",
-        "routeType": "non_idempotent",
-        "timeoutS": 5,
-        "sloLatencyS": 2,
-        "priority": 0,
-        "maxAttempts": 2,
-        "service": name
-    }
-
-
+_BETWEEN_REQUESTS_S = 0.05
+# Servers go on for `drainS` after the ack and a little longer.
+_LONGER_S = 1.0
+_ROUTES = [{
+    "name": "orders",
+    "hostname": "shop.example",
+    "pathPrefix": "/orders/",
+    "routeType": "non_idempotent",
+    "timeoutS": 5,
+    "sloLatencyS": 2,
+    "priority": 0,
+    "maxAttempts": 2,
+    "service": "orders"
+}]
 _SERVICES = [{
     "name": name,
     "healthPath": "/health",
     "maxConns": 200,
     "protocol": "h1",
     "tls": False
-} for name in ("orders", "photos")]
-
+} for name in ("orders", "front")]
 
-class _RecordingServer(standins.Server):
-    """Records the Caller-Service of each request that it runs."""
 
-    def __init__(self, *arguments):
-        super().__init__(*arguments)
-        self.callers = []
+async def _planned_stop(server):
+    """Stops a server as the protocol says; returns the time of the ack."""
+    await server.drain()
+    acked_at = server.record.now()
+    await asyncio.sleep(standins.DRAIN_S + _LONGER_S)
+    await server.deregister()
+    await server.stop()
+    return acked_at
 
-    async def respond(self, head, content, writer):
-        self.callers.append(head.get("caller-service"))
-        await super().respond(head, content, writer)
 
-
-async def _check_in_as_other(record, node, born, sequence, state):
-    """Sends a check-in as a program that serves nothing of the routes."""
-    content = json.dumps({
-        "service": "print-spooler",
-        "address": node.fields["upstream"],
-        "zone": node.fields["failure_domain"],
-        "version": "v1",
-        "slots": 4,
-        "state": state,
-        "coldLeftS": 0,
-        "seq": sequence,
-        "born": born
-    }).encode()
-    status = await standins.call(node.fields["check_in"], "POST",
-                                 "/v1/Instances.Heartbeat/spooler-1", content,
-                                 [("Content-Type", "application/json")], 1.0)
-    record(f"check-in of another writer at {node.name}, '{state}': {status}")
+async def _send_requests(client, answers):
+    """Sends orders one after the other, without waiting for the answers."""
+    sending = set()
+    try:
+        while True:
+            task = asyncio.ensure_future(
+                client.send("POST", "/orders/0.4", limit_s=4.0, content=b"x"))
+            sending.add(task)
+            task.add_done_callback(lambda done: answers.append(done.result()))
+            await asyncio.sleep(_BETWEEN_REQUESTS_S)
+    except asyncio.CancelledError:
+        await asyncio.wait(sending)
 
 
 async def _case(record, folder, started):
-    mesh = standins.Mesh(folder, record, ["orders", "photos", "photos"])
+    mesh = standins.Mesh(folder, record, ["front", "orders", "orders"])
     started(mesh)
     await mesh.start()
-    await mesh.replace_state(1, 0, [_route("orders"), _route("photos")],
-                             _SERVICES)
+    await mesh.replace_state(1, 0, _ROUTES, _SERVICES)
     await mesh.wait_until_ready()
-    orders = standins.Server(record, mesh.nodes[0], "orders", "orders-a")
-    photos = [
-        _RecordingServer(record, node, "photos", f"photos-{node.name}")
-        for node in mesh.nodes[1:]
-    ]
-    for server in [orders, *photos]:
-        await server.start()
+    other = standins.Server(record, mesh.nodes[2], "orders", "orders-b")
+    await other.start()
+    first = standins.Server(record, mesh.nodes[1], "orders", "orders-a")
+    await first.start()
     await asyncio.sleep(_SETTLE_S)
     client = standins.Client(record, mesh.nodes[0])
-    customer = standins.Client(record, mesh.nodes[1])
-    if standins.with_trouble():
-        born = time.time_ns() // 1_000_000
-        await _check_in_as_other(record, mesh.nodes[0], born, 1, "ready")
-        await asyncio.sleep(1.0)
-        await _check_in_as_other(record, mesh.nodes[0], born, 2, "draining")
-    await asyncio.sleep(2.0)
-    for _ in range(_REQUESTS):
-        await client.send("POST", "/photos/0.05", content=b"x")
-        await customer.send("POST", "/orders/0.05", content=b"x")
-    callers = [caller for server in photos for caller in server.callers]
-    if not callers:
-        raise standins.NotRun("the servers of photos got no requests")
-    wrong = [caller for caller in callers if caller != "orders"]
-    served = sum(answer.status == 200 for answer in customer.answers)
-    record(f"{len(wrong)} of {len(callers)} requests that began on the machine"
-           f" of 'orders' had another Caller-Service: {sorted(set(wrong))};"
-           f" {served} of {len(customer.answers)} orders were served")
-    return not wrong
+    answers = []
+    traffic = asyncio.ensure_future(_send_requests(client, answers))
+    await asyncio.sleep(1.0)
+    await _planned_stop(first)
+    await asyncio.sleep(1.0)
+    second = standins.Server(
+        record, mesh.nodes[1], "orders",
+        "orders-a" if standins.with_trouble() else "orders-c")
+    await second.start()
+    await asyncio.sleep(_SETTLE_S)
+    acked_at = await _planned_stop(second)
+    await asyncio.sleep(1.0)
+    traffic.cancel()
+    await traffic
+    await other.stop()
+    if not first.runs or not second.runs or not other.runs:
+        raise standins.NotRun("a server got no requests")
+    late = [
+        run for run in second.runs if run.arrived_at > acked_at +
+        standins.DRAIN_S
+    ]
+    cut = [run for run in second.runs if run.ended == "cut by the exit"]
+    status_by_id = {answer.request_id: answer.status for answer in answers}
+    record(f"second lifetime: 'draining' acknowledged at {acked_at:.3f} s,"
+           f" {len(second.runs)} requests, {len(late)} of them later than"
+           f" {standins.DRAIN_S:g} s after the ack, {len(cut)} cut by the exit")
+    for run in cut:
+        record(f"{run.request_id} was cut and got"
+               f" {status_by_id.get(run.request_id)}")
+    return not late
 
 
 standins.run_case(FOLDER, _case)
