--- a/review/3/case.py
+++ b/review/3/case.py
@@ -54,7 +54,7 @@
     """Sends a check-in as a program that serves nothing of the routes."""
     content = json.dumps({
         "service": "print-spooler",
-        "address": node.fields["upstream"],
+        "address": f"{node.fields['upstream'].rpartition(':')[0]}:9100",
         "zone": node.fields["failure_domain"],
         "version": "v1",
         "slots": 4,
--- a/review/standins.py
+++ b/review/standins.py
@@ -24,7 +24,8 @@
 EXIT_HELD, EXIT_BROKEN, EXIT_NOT_RUN = 0, 1, 2
 _LIMIT_S = 115.0
 _START_TIMEOUT_S = 25.0
-_BEAT_INTERVAL_S = 0.5
+# `heartbeatS` of the platform.
+_BEAT_INTERVAL_S = 1.5
 _PORT_NAMES = ("caller", "link", "check_in", "readiness", "admin", "operator",
                "upstream")
 _FAILURE_DOMAINS = "abc"
