Tell lifetimes of an upstream apart by identifier and start

Cause: a deregistration was remembered by the id alone. Check-ins of that id not born after the latest one were ignored, and so were all but the first of the second lifetime, though they were answered 200.

Change: mesh/lifetimes.py identifies a lifetime by id and start. Departure is final within a lifetime, in whichever order its words arrive, and a word that is not in force is answered 503 instead of 200. A lifetime whose clock was set back replaces the current one once that is silent.

--- a/src/apricothinge/errors.py
+++ b/src/apricothinge/errors.py
@@ -26,6 +26,7 @@
     RATE_EXCEEDED = "rate_exceeded"
     OVERLOADED = "overloaded"
     NO_UPSTREAM = "no_upstream"
+    NOT_IN_FORCE = "not_in_force"
     DRAINING = "draining"
     ISOLATED = "isolated"
     EXPIRED = "expired"
@@ -92,6 +93,7 @@
     Kind.RATE_EXCEEDED: ErrorResponse(429, _NO, True, 1),
     Kind.OVERLOADED: ErrorResponse(503, _NO, True, 2),
     Kind.NO_UPSTREAM: ErrorResponse(503, _NO, True, 2),
+    Kind.NOT_IN_FORCE: ErrorResponse(503, _NO, True, 1),
     Kind.DRAINING: ErrorResponse(503, _NO, True, 1),
     Kind.ISOLATED: ErrorResponse(503, _NO, True, 5),
     Kind.EXPIRED: ErrorResponse(503, _NO, True, 1),
--- a/src/apricothinge/mesh/upstream.py
+++ b/src/apricothinge/mesh/upstream.py
@@ -4,6 +4,7 @@
 import collections
 from collections.abc import Callable
 import math
+import time
 from typing import Final
 
 from apricothinge import errors
@@ -14,6 +15,7 @@
 from apricothinge.mesh import admission_queue
 from apricothinge.mesh import announcements
 from apricothinge.mesh import costs
+from apricothinge.mesh import lifetimes
 from apricothinge.mesh import names
 from apricothinge.mesh import parents
 from apricothinge.overload import cold_start
@@ -24,7 +26,7 @@
 from apricothinge.web import client
 from apricothinge.web import messages
 
-__all__ = ["CheckIn", "LocalUpstream", "UpstreamRequest"]
+__all__ = ["LocalUpstream", "UpstreamRequest"]
 
 _PROBE_INTERVAL_S: Final = 0.25
 _MIN_REMAINING_S: Final = 0.01
@@ -36,33 +38,6 @@
 _MAX_LATE_STALL_S: Final = 1.0
 
 
-class CheckIn:
-    """State that an upstream reports periodically to its node.
-
-    Attributes:
-        upstream_id: Identifier of the upstream.
-        born: Start time in milliseconds by the upstream's wall clock.
-        sequence: Increases with each check-in of a lifetime.
-        service: Name of its service.
-        slots: Number of requests that it runs concurrently.
-        draining: Whether it accepts no new requests.
-        cold_s: Remaining warm-up time in seconds.
-    """
-
-    __slots__ = ("upstream_id", "born", "sequence", "service", "slots",
-                 "draining", "cold_s")
-
-    def __init__(self, upstream_id: str, born: int, sequence: int, service: str,
-                 slots: int, draining: bool, cold_s: float) -> None:
-        self.upstream_id = upstream_id
-        self.born = born
-        self.sequence = sequence
-        self.service = service
-        self.slots = slots
-        self.draining = draining
-        self.cold_s = cold_s
-
-
 class UpstreamRequest:
     """A request to run on an upstream.
 
@@ -123,11 +98,11 @@
     """
 
     __slots__ = ("on_change", "in_flight", "running_requests", "_address",
-                 "_names", "_pool", "_loop", "_queue", "_check_in", "_usable",
-                 "_deregistered_ids", "_probe_task", "_crash_table", "_metrics",
-                 "_incarnation", "_crash_count", "_local_costs",
-                 "_load_feedback", "_announcements", "_evacuated",
-                 "_queue_timer", "_rejection_meter", "_drain")
+                 "_names", "_pool", "_loop", "_queue", "_lifetimes", "_usable",
+                 "_probe_task", "_crash_table", "_metrics", "_incarnation",
+                 "_crash_count", "_local_costs", "_load_feedback",
+                 "_announcements", "_evacuated", "_queue_timer",
+                 "_rejection_meter", "_drain")
 
     def __init__(self, address: settings.Address,
                  header_names: names.HeaderNames, pool: client.ConnectionPool,
@@ -144,11 +119,9 @@
         self._queue = admission_queue.AdmissionQueue(self._loop.time())
         self._rejection_meter = completion.RejectionMeter(self._loop.time())
         self._load_feedback = load_feedback.LoadFeedback(self._loop.time())
-        self._check_in: CheckIn | None = None
+        self._lifetimes = lifetimes.Lifetimes()
         self._usable = False
         self._drain: drain.Drain | None = None
-        self._deregistered_ids: collections.deque[str] = collections.deque(
-            maxlen=64)
         self._probe_task: asyncio.Task[None] | None = None
         self._evacuated = False
         self._queue_timer: asyncio.TimerHandle | None = None
@@ -163,7 +136,7 @@
     @property
     def service(self) -> str:
         """Service named in the latest check-in; empty before the first."""
-        return "" if self._check_in is None else self._check_in.service
+        return "" if self._lifetimes.current is None else self._lifetimes.current.service
 
     def begin_drain(self, stop: drain.Drain) -> None:
         """Bounds the wait for a slot by the end of the process.
@@ -179,7 +152,7 @@
 
     def row(self) -> frames.UpstreamRow | None:
         """Returns the upstream as published to other nodes."""
-        latest = self._check_in
+        latest = self._lifetimes.current
         if latest is None:
             return None
         cold_s = self._queue.cold_limiter.remaining_s(self._loop.time())
@@ -200,33 +173,35 @@
 
     # Check-ins.
 
-    def check_in(self, check_in: CheckIn) -> None:
-        """Applies a check-in; one of an earlier lifetime is ignored."""
-        latest = self._check_in
-        if check_in.upstream_id in self._deregistered_ids and (
-                latest is None or check_in.born <= latest.born):
-            return
-        if latest is not None:
-            if check_in.born < latest.born:
-                return
-            same_lifetime = self._is_same_lifetime(check_in)
-            if same_lifetime and check_in.sequence <= latest.sequence:
-                return
-            if not same_lifetime:
-                self._start_lifetime(check_in)
-        else:
+    def check_in(self, check_in: lifetimes.CheckIn) -> bool:
+        """Applies a check-in.
+
+        Returns:
+            Whether what it says is in force, or was overtaken by what its
+            lifetime has said before.
+        """
+        verdict = self._lifetimes.apply(self._loop.time(), check_in)
+        if verdict is lifetimes.Verdict.OVERTAKEN:
+            return True
+        if verdict is lifetimes.Verdict.UNCERTAIN:
+            log.event("upstream:check_in_uncertain",
+                      upstream=check_in.upstream_id,
+                      born=check_in.born,
+                      sequence=check_in.sequence)
+            return False
+        if verdict is lifetimes.Verdict.STARTED:
             self._start_lifetime(check_in)
-        self._check_in = check_in
         self._local_costs.service = check_in.service
         self._queue.slots = check_in.slots
         self._apply_warm_up(check_in)
         usable = self._accepts_requests()
         if usable and not self._usable and self._probe_task is not None:
             # The probe decides when the upstream accepts connections again.
-            return
+            return True
         self._set_usable(usable, "check_in")
+        return True
 
-    def _start_lifetime(self, check_in: CheckIn) -> None:
+    def _start_lifetime(self, check_in: lifetimes.CheckIn) -> None:
         log.event("upstream:seen",
                   upstream=check_in.upstream_id,
                   born=check_in.born,
@@ -240,7 +215,7 @@
                                            check_in.upstream_id, check_in.born)
         self._pool.close_idle(self._address)
 
-    def _apply_warm_up(self, check_in: CheckIn) -> None:
+    def _apply_warm_up(self, check_in: lifetimes.CheckIn) -> None:
         """Applies the warm-up time that a check-in reports."""
         now = self._loop.time()
         before_s = self._queue.cold_limiter.remaining_s(now)
@@ -258,7 +233,7 @@
         cold_s = self._queue.cold_limiter.remaining_s(now)
         if not cold_s:
             return
-        latest = self._check_in
+        latest = self._lifetimes.current
         log.event("upstream:warm_up",
                   upstream="" if latest is None else latest.upstream_id,
                   why=reason,
@@ -277,7 +252,7 @@
         if not evacuated:
             # Caches of the upstream may have been lost meanwhile.
             self._assume_cold("evacuation_ended")
-        if self._check_in is None:
+        if self._lifetimes.current is None:
             return
         if evacuated:
             self._set_usable(False, "evacuated")
@@ -286,16 +261,13 @@
 
     def _accepts_requests(self) -> bool:
         """Returns whether the upstream takes requests if it listens."""
-        latest = self._check_in
+        latest = self._lifetimes.current
         return (latest is not None and not latest.draining and
                 not self._announcements.leaving and not self._evacuated)
 
     def recall(self, row: frames.UpstreamRow) -> None:
         """Takes over what an earlier process of this node has published."""
-        latest = self._check_in
-        is_current = (latest is not None and
-                      latest.upstream_id == row.upstream_id and
-                      latest.born == row.born)
+        is_current = self._lifetimes.is_current((row.upstream_id, row.born))
         if self._announcements.recall(self._loop.time(), row, is_current):
             self._publish_announcements()
 
@@ -305,22 +277,34 @@
             return
         self.on_change()
 
-    def deregister(self, upstream_id: str, born: int | None) -> None:
-        """Ends a lifetime, which receives no new requests from then on."""
-        latest = self._check_in
-        self._deregistered_ids.append(upstream_id)
-        if latest is None or latest.upstream_id != upstream_id:
-            return
-        if born is not None and born < latest.born:
-            return
-        latest.draining = True
-        self._set_usable(False, "left")
+    def deregister(self, upstream_id: str, born: int | None) -> bool:
+        """Ends a lifetime, which receives no new requests from then on.
+
+        Args:
+            upstream_id: Identifier of the upstream.
+            born: Its start time as in its check-ins; None for the lifetime that
+                has checked in last.
+
+        Returns:
+            Whether it is known which lifetime has ended.
+        """
+        current = self._lifetimes.current
+        if born is None:
+            if current is None or current.upstream_id != upstream_id:
+                self._lifetimes.depart_unheard(upstream_id,
+                                               time.time_ns() // 1_000_000)
+                return False
+            born = current.born
+        log.event("upstream:deregistered", upstream=upstream_id, born=born)
+        if self._lifetimes.depart((upstream_id, born)):
+            self._set_usable(False, "left")
+        return True
 
     def _set_usable(self, usable: bool, reason: str) -> None:
         if self._usable == usable:
             return
         self._usable = usable
-        latest = self._check_in
+        latest = self._lifetimes.current
         log.event("upstream:usable" if usable else "upstream:unusable",
                   upstream="" if latest is None else latest.upstream_id,
                   why=reason,
@@ -356,7 +340,7 @@
             errors.CallError: The request was refused, or its response was lost.
         """
         call = upstream_request.call
-        latest = self._check_in
+        latest = self._lifetimes.current
         if (latest is None or not self._usable or
                 latest.service != call.service):
             raise errors.CallError(
@@ -399,7 +383,7 @@
         return messages.Content(read, lambda complete: rest.close())
 
     def _record_completion(self, upstream_request: UpstreamRequest,
-                           check_in: CheckIn,
+                           check_in: lifetimes.CheckIn,
                            response: messages.Response | None,
                            arrived_at: float, started_at: float) -> None:
         """Records metrics, cost and log of a request that was sent."""
@@ -527,7 +511,7 @@
                                  admitted_fraction)
 
     def _headers(self, upstream_request: UpstreamRequest,
-                 check_in: CheckIn) -> messages.Headers:
+                 check_in: lifetimes.CheckIn) -> messages.Headers:
         remaining_ms = max(
             1, int((upstream_request.deadline - self._loop.time()) * 1000))
         return upstream_request.call.headers + [
@@ -538,7 +522,7 @@
     async def _exchange(self,
                         upstream_request: UpstreamRequest) -> messages.Response:
         call = upstream_request.call
-        latest = self._check_in
+        latest = self._lifetimes.current
         assert latest is not None
         self.in_flight[call.fingerprint] += 1
         self.running_requests.add(call.request_id, call.rank)
@@ -575,18 +559,11 @@
         self._rejection_meter.record(
             self._loop.time(),
             messages.header(response.headers, self._names.not_run) is not None)
-        if (self._is_same_lifetime(latest) and
+        if (self._lifetimes.is_current(latest.lifetime) and
                 self._announcements.read(self._loop.time(), response.headers)):
             self._publish_announcements()
         return response
 
-    def _is_same_lifetime(self, check_in: CheckIn) -> bool:
-        """Returns whether a check-in is of the current lifetime."""
-        latest = self._check_in
-        return (latest is not None and
-                latest.upstream_id == check_in.upstream_id and
-                latest.born == check_in.born)
-
     async def _handle_lost_response(self, detail: str) -> None:
         """Distinguishes a crash of the upstream from a single lost response.
 
--- a/src/apricothinge/platform/handlers.py
+++ b/src/apricothinge/platform/handlers.py
@@ -46,13 +46,15 @@
         path = request.path
         content = request.body.prefix
         if path.startswith(wire.CHECK_IN_PATH_PREFIX):
-            self._node.upstream.check_in(
+            in_force = self._node.upstream.check_in(
                 wire.decode_check_in(path[len(wire.CHECK_IN_PATH_PREFIX):],
                                      content))
-            return _json_response()
-        if path.startswith(wire.DEREGISTER_PATH_PREFIX):
-            self._node.upstream.deregister(
+        elif path.startswith(wire.DEREGISTER_PATH_PREFIX):
+            in_force = self._node.upstream.deregister(
                 path[len(wire.DEREGISTER_PATH_PREFIX):],
                 wire.decode_deregistration(content))
-            return _json_response()
-        raise errors.CallError(errors.Kind.UNKNOWN_SERVICE)
+        else:
+            raise errors.CallError(errors.Kind.UNKNOWN_SERVICE)
+        if not in_force:
+            raise errors.CallError(errors.Kind.NOT_IN_FORCE)
+        return _json_response()
--- a/src/apricothinge/platform/wire.py
+++ b/src/apricothinge/platform/wire.py
@@ -11,8 +11,8 @@
 
 from apricothinge import errors
 from apricothinge.mesh import documents
+from apricothinge.mesh import lifetimes
 from apricothinge.mesh import names
-from apricothinge.mesh import upstream
 
 __all__ = [
     "BASE_VERSION_HEADER", "CHECK_IN_PATH_PREFIX", "Change",
@@ -319,7 +319,7 @@
     return Change(digest.digest(), base_version, document)
 
 
-def decode_check_in(upstream_id: str, content: bytes) -> upstream.CheckIn:
+def decode_check_in(upstream_id: str, content: bytes) -> lifetimes.CheckIn:
     """Decodes the body of a check-in.
 
     Raises:
@@ -336,9 +336,9 @@
             errors.Kind.MALFORMED_REQUEST,
             f"state: found {report.state!r}, expected 'ready' or"
             " 'draining'")
-    return upstream.CheckIn(upstream_id, report.born, report.seq,
-                            report.service, report.slots,
-                            report.state == "draining", report.coldLeftS)
+    return lifetimes.CheckIn(upstream_id, report.born, report.seq,
+                             report.service, report.slots,
+                             report.state == "draining", report.coldLeftS)
 
 
 def decode_deregistration(content: bytes) -> int | None:
--- a/tests/mesh_builders.py
+++ b/tests/mesh_builders.py
@@ -6,7 +6,7 @@
 from apricothinge.control import raft_messages
 from apricothinge.link import frames
 from apricothinge.mesh import documents
-from apricothinge.mesh import upstream
+from apricothinge.mesh import lifetimes
 
 
 def route(name="r",
@@ -79,9 +79,9 @@
     """Builds a check-in message of an upstream, by default of service "s"."""
     fields = {"service": "s", "slots": 4, "draining": False, "cold_s": 0.0}
     fields.update(overrides)
-    return upstream.CheckIn(upstream_id, born, sequence, fields["service"],
-                            fields["slots"], fields["draining"],
-                            fields["cold_s"])
+    return lifetimes.CheckIn(upstream_id, born, sequence, fields["service"],
+                             fields["slots"], fields["draining"],
+                             fields["cold_s"])
 
 
 def call(stream=1, method="GET", target="/a/1", data=b"", **overrides):
