Refuse check-ins of other writers

Cause: any check-in that could be decoded was taken for one of the machine's upstream; neither its service nor its address was compared with the settings, and an unreadable deregistration ended a lifetime.

Change: mesh/check_ins.py refuses check-ins of another service or address; every field of the page is required. Caller-Service comes from the settings, which are applied when they change.

--- a/src/apricothinge/mesh/lifetimes.py
+++ b/src/apricothinge/mesh/lifetimes.py
@@ -21,20 +21,23 @@
         born: Start time in milliseconds by the upstream's wall clock.
         sequence: Increases with each check-in of a lifetime.
         service: Name of its service.
+        address: "IP:port" at which it listens.
         slots: Number of requests that it runs concurrently.
         draining: Whether it accepts no new requests.
         cold_s: Remaining warm-up time in seconds.
     """
 
-    __slots__ = ("upstream_id", "born", "sequence", "service", "slots",
-                 "draining", "cold_s")
+    __slots__ = ("upstream_id", "born", "sequence", "service", "address",
+                 "slots", "draining", "cold_s")
 
     def __init__(self, upstream_id: str, born: int, sequence: int, service: str,
-                 slots: int, draining: bool, cold_s: float) -> None:
+                 address: str, slots: int, draining: bool,
+                 cold_s: float) -> None:
         self.upstream_id = upstream_id
         self.born = born
         self.sequence = sequence
         self.service = service
+        self.address = address
         self.slots = slots
         self.draining = draining
         self.cold_s = cold_s
--- a/src/apricothinge/mesh/node.py
+++ b/src/apricothinge/mesh/node.py
@@ -15,6 +15,7 @@
 from apricothinge.link import connection
 from apricothinge.link import frames
 from apricothinge.mesh import attachment
+from apricothinge.mesh import check_ins
 from apricothinge.mesh import costs
 from apricothinge.mesh import dispatch
 from apricothinge.mesh import downstream
@@ -136,6 +137,7 @@
     Attributes:
         state: State shared with its components.
         upstream: The local upstream.
+        check_ins: Receives what the upstream says of itself.
         hello: First message on each link.
         incoming_calls: Calls from other nodes to the local upstream.
         state_exchange: Desired state from and for other nodes.
@@ -173,6 +175,9 @@
             self._pool, self.state.crash_table, self.state.metrics,
             self._local_costs, incarnation)
         self.upstream.on_change = self._on_upstream_changed
+        self.check_ins = check_ins.CheckInReceiver(
+            node_settings.service,
+            settings.parse_address(node_settings.upstream), self.upstream)
         self._region = node_settings.region_by_domain.get(
             node_settings.failure_domain, "")
         self._router = routing.Router(node_settings.failure_domain,
@@ -238,9 +243,11 @@
         """Whether callers may send requests here."""
         return self.state.compiled is not None and not self.state.draining
 
-    def add_seeds(self, seeds: list[str]) -> None:
-        """Adds addresses at which control instances may be found."""
-        self._attachment.add_seeds(seeds)
+    def apply_settings(self, changed: settings.MeshNode) -> None:
+        """Adds the seeds of changed settings, and applies their service."""
+        self._attachment.add_seeds(changed.control_links())
+        self.check_ins.service = changed.service
+        self.state.configured_service = changed.service
 
     async def start(self) -> None:
         """Starts the servers, the link to control and the periodic tick."""
--- a/src/apricothinge/mesh/state.py
+++ b/src/apricothinge/mesh/state.py
@@ -38,12 +38,13 @@
         report_due: Set when there is something to report to control.
         evacuations: Failure domains that operators have emptied.
         on_evacuations: Called when these have changed.
+        configured_service: Service of this machine by the settings, or empty.
         metrics: Metrics of the node.
     """
 
     __slots__ = ("names", "compiled", "token_pool", "crash_table", "pending",
                  "response_times", "drain", "report_due", "metrics",
-                 "evacuations", "on_evacuations", "_configured_service",
+                 "evacuations", "on_evacuations", "configured_service",
                  "_announced_service")
 
     def __init__(self, header_names: names.HeaderNames, service: str,
@@ -59,7 +60,7 @@
         self.drain: drain.Drain | None = None
         self.report_due = asyncio.Event()
         self.metrics = metrics.NodeMetrics()
-        self._configured_service = service
+        self.configured_service = service
         self._announced_service = ""
 
     @property
@@ -94,10 +95,13 @@
     @property
     def service(self) -> str:
         """The service that runs on this machine."""
-        return self._announced_service or self._configured_service
+        return self.configured_service or self._announced_service
 
     def set_announced_service(self, service: str) -> None:
-        """Sets the service that the upstream has announced."""
+        """Sets the service that the upstream has announced.
+
+        It counts only if the settings name none.
+        """
         self._announced_service = service
 
     @property
--- a/src/apricothinge/platform/handlers.py
+++ b/src/apricothinge/platform/handlers.py
@@ -46,15 +46,13 @@
         path = request.path
         content = request.body.prefix
         if path.startswith(wire.CHECK_IN_PATH_PREFIX):
-            in_force = self._node.upstream.check_in(
+            self._node.check_ins.check_in(
                 wire.decode_check_in(path[len(wire.CHECK_IN_PATH_PREFIX):],
                                      content))
         elif path.startswith(wire.DEREGISTER_PATH_PREFIX):
-            in_force = self._node.upstream.deregister(
+            self._node.check_ins.deregister(
                 path[len(wire.DEREGISTER_PATH_PREFIX):],
                 wire.decode_deregistration(content))
         else:
             raise errors.CallError(errors.Kind.UNKNOWN_SERVICE)
-        if not in_force:
-            raise errors.CallError(errors.Kind.NOT_IN_FORCE)
         return _json_response()
--- a/src/apricothinge/platform/node_process.py
+++ b/src/apricothinge/platform/node_process.py
@@ -26,13 +26,13 @@
     ]
     runtime.tune_gc()
 
-    def add_changed_seeds(changed: settings.Settings) -> None:
+    def apply_settings(changed: settings.Settings) -> None:
         if changed.mesh_node is not None:
-            mesh_node.add_seeds(changed.mesh_node.control_links())
+            mesh_node.apply_settings(changed.mesh_node)
 
     never_fails: asyncio.Future[None] = asyncio.get_running_loop(
     ).create_future()
-    await host.reload_until_stopped(signals, settings_file, add_changed_seeds,
+    await host.reload_until_stopped(signals, settings_file, apply_settings,
                                     never_fails)
     await mesh_node.stop(signals.stopped_at)
     for http_server in servers:
--- a/src/apricothinge/platform/wire.py
+++ b/src/apricothinge/platform/wire.py
@@ -5,7 +5,7 @@
 
 import hashlib
 import re
-from typing import Annotated, Any, Final
+from typing import Annotated, Any, Final, Literal
 
 import msgspec
 
@@ -52,6 +52,9 @@
 
     Attributes:
         service: Service that the upstream provides.
+        address: "IP:port" at which it listens.
+        zone: Its failure domain.
+        version: Version of its software.
         slots: Number of requests that it runs concurrently.
         state: `ready` or `draining`.
         seq: Sequence number, increased with each check-in since its start.
@@ -60,11 +63,14 @@
     """
 
     service: str
+    address: str
+    zone: str
+    version: str
     slots: Annotated[int, msgspec.Meta(ge=1)]
-    state: str
+    state: Literal["ready", "draining"]
     seq: int
     born: int
-    coldLeftS: float = 0.0  # pylint: disable=invalid-name
+    coldLeftS: float  # pylint: disable=invalid-name
 
 
 class _Deregistration(msgspec.Struct):
@@ -323,21 +329,16 @@
     """Decodes the body of a check-in.
 
     Raises:
-        errors.CallError: MALFORMED_REQUEST; the body is not valid or the state
-            is neither `ready` nor `draining`.
+        errors.CallError: MALFORMED_REQUEST; the body is not valid. An upstream
+            sends all fields, so one that is missing is another writer's fault.
     """
     try:
         report = msgspec.json.decode(content, type=_CheckIn)
     except msgspec.MsgspecError as error:
         raise errors.CallError(errors.Kind.MALFORMED_REQUEST,
                                str(error)) from None
-    if report.state not in ("ready", "draining"):
-        raise errors.CallError(
-            errors.Kind.MALFORMED_REQUEST,
-            f"state: found {report.state!r}, expected 'ready' or"
-            " 'draining'")
     return lifetimes.CheckIn(upstream_id, report.born, report.seq,
-                             report.service, report.slots,
+                             report.service, report.address, report.slots,
                              report.state == "draining", report.coldLeftS)
 
 
@@ -345,11 +346,15 @@
     """Decodes the start time in a deregistration.
 
     Returns:
-        The value of `born`, or None if it is absent or the body is invalid.
+        The value of `born`, or None if it is absent.
+
+    Raises:
+        errors.CallError: MALFORMED_REQUEST; there is a body that is not valid.
     """
     if not content:
         return None
     try:
         return msgspec.json.decode(content, type=_Deregistration).born
-    except msgspec.MsgspecError:
-        return None
+    except msgspec.MsgspecError as error:
+        raise errors.CallError(errors.Kind.MALFORMED_REQUEST,
+                               str(error)) from None
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -144,8 +144,12 @@
         for sequence in itertools.count(1):
             message = {
                 "service": node.fields["service"],
+                "address": node.fields["upstream"],
+                "zone": node.fields["failure_domain"],
+                "version": "v1",
                 "slots": (100, 8, 3)[index // 2 % 3],
                 "state": "ready",
+                "coldLeftS": 0,
                 "seq": sequence,
                 "born": 1
             }
