Record departures of upstreams in the replicated log

Cause: that a lifetime has departed was known to memory alone, of nodes and of the leader. After a kill of all processes the first check-in was believed, however old.

Change: a departure is appended to the log of control and acknowledged once a quorum has it on disk (503 until then; nothing new is sent to the upstream from the first moment on). A started node uses no check-in before it has learnt which lifetimes have departed, from control or, in a cut, from a node that has run meanwhile.

--- a/src/apricothinge/link/frames.py
+++ b/src/apricothinge/link/frames.py
@@ -294,6 +294,9 @@
             requests per second. Omits unchanged organisations.
         crashes: Pairs of the fingerprint of a request and the identifier of
             the crash during which it was in flight.
+        departures: Identifier and start of lifetimes of its upstream which have
+            departed, as far as control has not confirmed that it has recorded
+            them.
     """
 
     sequence: int
@@ -301,6 +304,7 @@
     revision: int
     tokens: dict[str, tuple[int, int, int, float]]
     crashes: list[tuple[str, str]]
+    departures: list[tuple[str, int]] = []
 
 
 class Update(_Message, tag=15):
@@ -320,6 +324,8 @@
         evacuation_revision: Number of changes of `evacuated` so far.
         evacuated: Failure domains whose upstreams get no new requests, each
             with the seconds since the order was accepted.
+        departures: Recorded departures of the upstream of the receiving node,
+            as in Report; None if unchanged since the last update.
     """
 
     acknowledged: int
@@ -334,6 +340,7 @@
     crashes: list[tuple[str, str]]
     evacuation_revision: int = 0
     evacuated: dict[str, float] = {}
+    departures: list[tuple[str, int]] | None = None
 
 
 class TokenRequest(_Message, tag=20):
--- a/src/apricothinge/mesh/attachment.py
+++ b/src/apricothinge/mesh/attachment.py
@@ -12,6 +12,7 @@
 from apricothinge import settings
 from apricothinge.link import connection
 from apricothinge.link import frames
+from apricothinge.mesh import departures
 from apricothinge.mesh import documents
 from apricothinge.mesh import peers
 from apricothinge.mesh import state
@@ -59,11 +60,17 @@
                  "_task", "_link", "_last_update_at", "_sequence", "_sent_row",
                  "_sent_token_counts", "_leader_hint", "_sent_at_by_sequence",
                  "_token_request_by_name", "_waiter_count_by_name",
-                 "_no_tokens_until_by_name", "_silent_address")
+                 "_no_tokens_until_by_name", "_silent_address", "_upstream",
+                 "_departure_log")
 
     def __init__(self, node_state: state.NodeState, peer_table: peers.PeerTable,
                  row_builder: "RowBuilder", seeds: list[str],
-                 monitor: connection.KeepaliveMonitor) -> None:
+                 monitor: connection.KeepaliveMonitor,
+                 local_upstream: upstream.LocalUpstream,
+                 departure_log: departures.DepartureLog) -> None:
+        self._upstream = local_upstream
+        self._departure_log = departure_log
+        departure_log.on_pending = node_state.report_due.set
         self._loop = asyncio.get_running_loop()
         self._state = node_state
         self._peer_table = peer_table
@@ -188,7 +195,8 @@
         crash_table = self._state.crash_table
         crash_reports, crash_table.outbox = crash_table.outbox, []
         return frames.Report(self._sequence, changed_row, self._state.revision,
-                             changed, crash_reports)
+                             changed, crash_reports,
+                             self._departure_log.pending)
 
     async def request_tokens(self, name: str) -> bool:
         """Requests tokens of an organisation and waits for the reply.
@@ -276,6 +284,9 @@
                                            documents.unpack(update.document)))
             self._state.report_due.set()
         self._state.evacuate(update.evacuation_revision, update.evacuated)
+        if update.departures is not None:
+            self._departure_log.set_recorded(update.departures)
+            self._upstream.learn_departures(update.departures)
         token_pool = self._state.token_pool
         token_pool.nodes = update.node_count
         sent_at = self._sent_at_by_sequence.get(update.acknowledged)
--- a/src/apricothinge/mesh/check_ins.py
+++ b/src/apricothinge/mesh/check_ins.py
@@ -3,6 +3,7 @@
 from apricothinge import errors
 from apricothinge import log
 from apricothinge import settings
+from apricothinge.mesh import departures
 from apricothinge.mesh import lifetimes
 from apricothinge.mesh import upstream
 
@@ -20,28 +21,33 @@
             tell.
     """
 
-    __slots__ = ("service", "_address", "_upstream")
+    __slots__ = ("service", "_address", "_upstream", "_departure_log")
 
     def __init__(self, service: str, address: settings.Address,
-                 local_upstream: upstream.LocalUpstream) -> None:
+                 local_upstream: upstream.LocalUpstream,
+                 departure_log: departures.DepartureLog) -> None:
         """Creates a receiver.
 
         Args:
             service: Service that runs on this machine, or empty.
             address: Address at which its upstream listens.
             local_upstream: What is told of it.
+            departure_log: Records that a lifetime departs.
         """
         self.service = service
         self._address = str(address)
         self._upstream = local_upstream
+        self._departure_log = departure_log
 
-    def check_in(self, check_in: lifetimes.CheckIn) -> None:
+    async def check_in(self, check_in: lifetimes.CheckIn) -> None:
         """Applies a check-in; that no error is raised acknowledges it.
 
         Raises:
             errors.CallError: MALFORMED_REQUEST if it is of another upstream;
-                NOT_IN_FORCE.
+                NOT_IN_FORCE; UNREACHABLE if control does not record in time
+                that the upstream departs.
         """
+        says_draining = check_in.draining
         if ((self.service and check_in.service != self.service) or
                 check_in.address != self._address):
             log.event("check_in:foreign",
@@ -54,12 +60,17 @@
                 f" expected {self.service!r} at {self._address!r}")
         if not self._upstream.check_in(check_in):
             raise errors.CallError(errors.Kind.NOT_IN_FORCE)
+        if says_draining:
+            await self._departure_log.wait_until_recorded(check_in.lifetime)
 
-    def deregister(self, upstream_id: str, born: int | None) -> None:
+    async def deregister(self, upstream_id: str, born: int | None) -> None:
         """Ends a lifetime; that no error is raised acknowledges it.
 
         Raises:
-            errors.CallError: NOT_IN_FORCE.
+            errors.CallError: NOT_IN_FORCE if it is not known which lifetime has
+                ended; UNREACHABLE as in `check_in`.
         """
-        if not self._upstream.deregister(upstream_id, born):
+        lifetime = self._upstream.deregister(upstream_id, born)
+        if lifetime is None:
             raise errors.CallError(errors.Kind.NOT_IN_FORCE)
+        await self._departure_log.wait_until_recorded(lifetime)
--- a/src/apricothinge/mesh/control.py
+++ b/src/apricothinge/mesh/control.py
@@ -149,6 +149,7 @@
         self._leader_last_known_at = self._loop.time()
         self._member_change_task: asyncio.Task[None] | None = None
         self._join_task: asyncio.Task[None] | None = None
+        self._task_by_departure: dict[machine.Depart, asyncio.Task[None]] = {}
         self._document_revision = -1
         self._draining = False
         self._operations = 0
@@ -256,7 +257,7 @@
 
     async def stop(self) -> None:
         """Stops the background tasks, the Raft group and the servers."""
-        for task in self._tasks:
+        for task in [*self._tasks, *self._task_by_departure.values()]:
             task.cancel()
         self._admin_server.abort()
         await self.group_member.stop()
@@ -433,7 +434,8 @@
         core = self.group_member.raft
         if self.group_member.is_leader and self._hub_term != core.term:
             self._stop_hub()
-            self._hub = hub.Hub(self.state_machine, self._member_addresses)
+            self._hub = hub.Hub(self.state_machine, self._member_addresses,
+                                self._record_departure)
             self._hub_term = core.term
             self._document_revision = -1
             log.event("control:leads", term=core.term)
@@ -441,6 +443,23 @@
             log.event("control:follows", term=core.term, leader=self.leader())
             self._stop_hub()
 
+    def _record_departure(self, departure: machine.Depart) -> None:
+        """Begins to record a departure, which nodes repeat until it is."""
+        if departure not in self._task_by_departure:
+            self._task_by_departure[departure] = asyncio.ensure_future(
+                self._propose_departure(departure))
+
+    async def _propose_departure(self, departure: machine.Depart) -> None:
+        try:
+            await self.group_member.propose(departure)
+        except errors.ApricothingeError as error:
+            log.event("departure:not_recorded",
+                      node=departure.instance,
+                      upstream=departure.upstream_id,
+                      error=str(error))
+        finally:
+            del self._task_by_departure[departure]
+
     def _stop_hub(self) -> None:
         if self._hub is not None:
             self._hub.stop(self._make_redirect())
--- a/src/apricothinge/mesh/hub.py
+++ b/src/apricothinge/mesh/hub.py
@@ -55,10 +55,13 @@
         sent_crashes: Number of crash reports that it was sent.
         sent_complete: Whether it was sent the complete node table.
         update_due: Whether an update has to be sent.
+        sent_departures: Recorded departures of its upstream that it was sent,
+            or None.
     """
 
     __slots__ = ("instance", "sent_version", "known_revision", "last_sequence",
-                 "sent_crashes", "sent_complete", "update_due")
+                 "sent_crashes", "sent_complete", "update_due",
+                 "sent_departures")
 
     def __init__(self, instance: str, known_revision: int,
                  sent_crashes: int) -> None:
@@ -69,6 +72,7 @@
         self.sent_crashes = sent_crashes
         self.sent_complete = False
         self.update_due = True
+        self.sent_departures: tuple[tuple[str, int], ...] | None = None
 
 
 class Hub:
@@ -81,10 +85,21 @@
                  "_entry_by_instance", "_attached_node_by_link",
                  "_table_version", "_started_at", "_token_server",
                  "_crash_reports", "_seen_crash_reports", "_granted_at",
-                 "_grants_announced", "_evacuated_at_by_domain")
+                 "_grants_announced", "_evacuated_at_by_domain",
+                 "_record_departure", "_published_revisions")
 
     def __init__(self, state_machine: machine.MeshStateMachine,
-                 member_addresses: Callable[[], list[str]]) -> None:
+                 member_addresses: Callable[[], list[str]],
+                 record_departure: Callable[[machine.Depart], None]) -> None:
+        """Creates a hub without nodes.
+
+        Args:
+            state_machine: The replicated state.
+            member_addresses: Returns "IP:port" of every control member.
+            record_departure: Begins to append a command to the log.
+        """
+        self._record_departure = record_departure
+        self._published_revisions = (-1, -1)
         self._loop = asyncio.get_running_loop()
         self._state_machine = state_machine
         self._member_addresses = member_addresses
@@ -169,6 +184,13 @@
             self._update_row(message.row)
         self._token_server.report(runtime.boottime_s(), attached_node.instance,
                                   message.tokens)
+        recorded = self._departures(attached_node)
+        for lifetime in message.departures:
+            if lifetime in recorded:
+                attached_node.sent_departures = None
+            else:
+                self._record_departure(
+                    machine.Depart(attached_node.instance, *lifetime))
         for crash_report in message.crashes:
             if crash_report not in self._seen_crash_reports:
                 self._seen_crash_reports.add(crash_report)
@@ -198,8 +220,15 @@
             entry.disconnected_at = self._loop.time()
 
     def publish_state(self) -> None:
-        """Sends new orders of operators to all attached nodes."""
-        self._mark_all_due()
+        """Sends new orders of operators to all attached nodes.
+
+        Other entries of the log concern single nodes.
+        """
+        revisions = (self._state_machine.revision,
+                     self._state_machine.evacuation_revision)
+        if revisions != self._published_revisions:
+            self._published_revisions = revisions
+            self._mark_all_due()
         self.send_updates()
 
     def tick(self) -> None:
@@ -237,8 +266,9 @@
         """Sends updates to the nodes that are due for one."""
         settled = self._loop.time() - self._started_at >= _SETTLING_TIME_S
         for link, attached_node in list(self._attached_node_by_link.items()):
-            if not attached_node.update_due and not self._lacks_document(
-                    attached_node):
+            if not (attached_node.update_due or
+                    self._lacks_document(attached_node) or
+                    self._lacks_departures(attached_node)):
                 continue
             attached_node.update_due = False
             link.send(self._make_update(attached_node, settled))
@@ -247,6 +277,15 @@
         # Revision 0 stands for the state before the first desired state.
         return 0 < self._state_machine.revision > attached_node.known_revision
 
+    def _departures(
+            self, attached_node: _AttachedNode) -> tuple[tuple[str, int], ...]:
+        """Returns the recorded departures of a node's upstream."""
+        return self._state_machine.departed_by_instance.get(
+            attached_node.instance, ())
+
+    def _lacks_departures(self, attached_node: _AttachedNode) -> bool:
+        return attached_node.sent_departures != self._departures(attached_node)
+
     def _make_update(self, attached_node: _AttachedNode,
                      settled: bool) -> frames.Update:
         document = None
@@ -254,6 +293,10 @@
             document = self._state_machine.document
             attached_node.known_revision = self._state_machine.revision
         complete = settled and not attached_node.sent_complete
+        departures = None
+        if self._lacks_departures(attached_node):
+            attached_node.sent_departures = self._departures(attached_node)
+            departures = list(attached_node.sent_departures)
         after_version = 0 if complete else attached_node.sent_version
         attached_node.sent_complete = attached_node.sent_complete or complete
         rows = []
@@ -275,7 +318,7 @@
                              self._token_server.is_ready(runtime.boottime_s()),
                              self._member_addresses(), crash_reports,
                              self._state_machine.evacuation_revision,
-                             self._evacuation_ages())
+                             self._evacuation_ages(), departures)
 
     def _evacuation_ages(self) -> dict[str, float]:
         """Returns the evacuated failure domains and the age of each order."""
--- a/src/apricothinge/mesh/node.py
+++ b/src/apricothinge/mesh/node.py
@@ -17,6 +17,7 @@
 from apricothinge.mesh import attachment
 from apricothinge.mesh import check_ins
 from apricothinge.mesh import costs
+from apricothinge.mesh import departures
 from apricothinge.mesh import dispatch
 from apricothinge.mesh import downstream
 from apricothinge.mesh import entry
@@ -175,11 +176,12 @@
             self._pool, self.state.crash_table, self.state.metrics,
             self._local_costs, incarnation)
         self.upstream.on_change = self._on_upstream_changed
+        departure_log = departures.DepartureLog()
+        self.upstream.on_departure = departure_log.add
         self.check_ins = check_ins.CheckInReceiver(
             node_settings.service,
-            settings.parse_address(node_settings.upstream), self.upstream)
-        self._region = node_settings.region_by_domain.get(
-            node_settings.failure_domain, "")
+            settings.parse_address(node_settings.upstream), self.upstream,
+            departure_log)
         self._router = routing.Router(node_settings.failure_domain,
                                       self._region, rng)
         self._monitor = connection.KeepaliveMonitor()
@@ -210,7 +212,8 @@
         self._attachment = attachment.Attachment(self.state, self._peer_table,
                                                  self._row_builder,
                                                  node_settings.control_links(),
-                                                 self._monitor)
+                                                 self._monitor, self.upstream,
+                                                 departure_log)
         self._caller_server = server.Server(
             entry.EntryHandler(
                 self.state, self._dispatcher, self._attachment,
@@ -236,7 +239,12 @@
             self._caller_server)
         self.state_exchange = state_exchange.StateExchange(
             self.state, self._peer_table, self._attachment, self.incoming_calls,
-            self._row_builder, rng)
+            self._row_builder, self.upstream, node_settings.instance, rng)
+
+    @property
+    def _region(self) -> str:
+        return self._settings.region_by_domain.get(
+            self._settings.failure_domain, "")
 
     @property
     def ready(self) -> bool:
--- a/src/apricothinge/mesh/state_exchange.py
+++ b/src/apricothinge/mesh/state_exchange.py
@@ -12,6 +12,7 @@
 from apricothinge.mesh import peers
 from apricothinge.mesh import state
 from apricothinge.mesh import streams
+from apricothinge.mesh import upstream
 
 __all__ = ["StateExchange"]
 
@@ -29,13 +30,17 @@
     """
 
     __slots__ = ("_loop", "_state", "_peer_table", "_attachment",
-                 "_incoming_calls", "_row_builder", "_rng", "_started_at")
+                 "_incoming_calls", "_row_builder", "_rng", "_started_at",
+                 "_upstream", "_instance")
 
     def __init__(self, node_state: state.NodeState, peer_table: peers.PeerTable,
                  control_attachment: attachment.Attachment,
                  incoming_calls: streams.IncomingCalls,
                  row_builder: attachment.RowBuilder,
+                 local_upstream: upstream.LocalUpstream, instance: str,
                  rng: random.Random) -> None:
+        self._upstream = local_upstream
+        self._instance = instance
         self._loop = asyncio.get_running_loop()
         self._state = node_state
         self._peer_table = peer_table
@@ -83,4 +88,9 @@
                              dict.fromkeys(offer.evacuated, math.inf))
         self._state.token_pool.nodes = offer.node_count
         for row in offer.rows:
+            if row.instance == self._instance and row.upstream is not None:
+                self._upstream.recall(row.upstream)
             self._peer_table.update_row(row)
+        # What control has recorded is not known here, but the nodes that have
+        # run meanwhile know what this upstream has said.
+        self._upstream.learn_departures([])
--- a/src/apricothinge/mesh/upstream.py
+++ b/src/apricothinge/mesh/upstream.py
@@ -15,6 +15,7 @@
 from apricothinge.mesh import admission_queue
 from apricothinge.mesh import announcements
 from apricothinge.mesh import costs
+from apricothinge.mesh import departures
 from apricothinge.mesh import lifetimes
 from apricothinge.mesh import names
 from apricothinge.mesh import parents
@@ -93,16 +94,18 @@
     Attributes:
         on_change: Called when the state that is published to other nodes has
             changed.
+        on_departure: Called with a lifetime that says that it departs.
         in_flight: Number of running requests by fingerprint.
         running_requests: Ranks of the running requests.
     """
 
-    __slots__ = ("on_change", "in_flight", "running_requests", "_address",
-                 "_names", "_pool", "_loop", "_queue", "_lifetimes", "_usable",
-                 "_probe_task", "_crash_table", "_metrics", "_incarnation",
-                 "_crash_count", "_local_costs", "_load_feedback",
-                 "_announcements", "_evacuated", "_queue_timer",
-                 "_rejection_meter", "_drain")
+    __slots__ = ("on_change", "on_departure", "in_flight", "running_requests",
+                 "_address", "_names", "_pool", "_loop", "_queue", "_lifetimes",
+                 "_usable", "_probe_task", "_crash_table", "_metrics",
+                 "_incarnation", "_crash_count", "_local_costs",
+                 "_load_feedback", "_announcements", "_evacuated",
+                 "_queue_timer", "_rejection_meter", "_drain",
+                 "_departures_known")
 
     def __init__(self, address: settings.Address,
                  header_names: names.HeaderNames, pool: client.ConnectionPool,
@@ -121,6 +124,7 @@
         self._load_feedback = load_feedback.LoadFeedback(self._loop.time())
         self._lifetimes = lifetimes.Lifetimes()
         self._usable = False
+        self._departures_known = False
         self._drain: drain.Drain | None = None
         self._probe_task: asyncio.Task[None] | None = None
         self._evacuated = False
@@ -130,6 +134,8 @@
         self._announcements = announcements.Announcements(
             header_names, self._queue.rate_limiter)
         self.on_change = _ignore_change
+        self.on_departure: Callable[[departures.Lifetime],
+                                    None] = _ignore_departure
         self.in_flight: collections.Counter[str] = collections.Counter()
         self.running_requests = parents.RunningRequests()
 
@@ -194,12 +200,31 @@
         self._local_costs.service = check_in.service
         self._queue.slots = check_in.slots
         self._apply_warm_up(check_in)
+        if check_in.draining:
+            self.on_departure(check_in.lifetime)
+        self._update_usable("check_in")
+        return True
+
+    def _update_usable(self, reason: str) -> None:
         usable = self._accepts_requests()
         if usable and not self._usable and self._probe_task is not None:
             # The probe decides when the upstream accepts connections again.
-            return True
-        self._set_usable(usable, "check_in")
-        return True
+            return
+        self._set_usable(usable, reason)
+
+    def learn_departures(self, departed: list[departures.Lifetime]) -> None:
+        """Takes over departures that earlier processes of this node heard of.
+
+        Until this has been called, the upstream gets no requests, as its
+        check-ins may have been sent before it departed.
+
+        Args:
+            departed: The departures that have been recorded.
+        """
+        self._departures_known = True
+        for lifetime in departed:
+            self._lifetimes.depart(lifetime)
+        self._update_usable("departures_known")
 
     def _start_lifetime(self, check_in: lifetimes.CheckIn) -> None:
         log.event("upstream:seen",
@@ -256,28 +281,35 @@
             return
         if evacuated:
             self._set_usable(False, "evacuated")
-        elif self._probe_task is None:
-            self._set_usable(self._accepts_requests(), "evacuation_ended")
+        else:
+            self._update_usable("evacuation_ended")
 
     def _accepts_requests(self) -> bool:
         """Returns whether the upstream takes requests if it listens."""
         latest = self._lifetimes.current
-        return (latest is not None and not latest.draining and
-                not self._announcements.leaving and not self._evacuated)
+        return (self._departures_known and latest is not None and
+                not latest.draining and not self._announcements.leaving and
+                not self._evacuated)
 
     def recall(self, row: frames.UpstreamRow) -> None:
         """Takes over what an earlier process of this node has published."""
         is_current = self._lifetimes.is_current((row.upstream_id, row.born))
         if self._announcements.recall(self._loop.time(), row, is_current):
             self._publish_announcements()
+        if row.leaving and self._lifetimes.depart((row.upstream_id, row.born)):
+            self._update_usable("recalled")
 
     def _publish_announcements(self) -> None:
+        latest = self._lifetimes.current
+        if self._announcements.leaving and latest is not None:
+            self.on_departure(latest.lifetime)
         if self._announcements.leaving and self._usable:
             self._set_usable(False, "leaving")
             return
         self.on_change()
 
-    def deregister(self, upstream_id: str, born: int | None) -> bool:
+    def deregister(self, upstream_id: str,
+                   born: int | None) -> departures.Lifetime | None:
         """Ends a lifetime, which receives no new requests from then on.
 
         Args:
@@ -286,19 +318,23 @@
                 has checked in last.
 
         Returns:
-            Whether it is known which lifetime has ended.
+            The lifetime that has ended, or None if the upstream has not checked
+            in under this identifier.
         """
+        log.event("upstream:deregistered", upstream=upstream_id, born=born)
         current = self._lifetimes.current
-        if born is None:
-            if current is None or current.upstream_id != upstream_id:
+        if current is None or current.upstream_id != upstream_id:
+            if born is None:
                 self._lifetimes.depart_unheard(upstream_id,
                                                time.time_ns() // 1_000_000)
-                return False
-            born = current.born
-        log.event("upstream:deregistered", upstream=upstream_id, born=born)
-        if self._lifetimes.depart((upstream_id, born)):
+            else:
+                self._lifetimes.depart((upstream_id, born))
+            return None
+        lifetime = (upstream_id, current.born if born is None else born)
+        if self._lifetimes.depart(lifetime):
             self._set_usable(False, "left")
-        return True
+        self.on_departure(lifetime)
+        return lifetime
 
     def _set_usable(self, usable: bool, reason: str) -> None:
         if self._usable == usable:
@@ -589,6 +625,11 @@
     """Default callback."""
 
 
+def _ignore_departure(lifetime: departures.Lifetime) -> None:
+    """Default of `LocalUpstream.on_departure`."""
+    del lifetime
+
+
 def _withdrawal() -> errors.CallError:
     return errors.CallError(errors.Kind.DRAINING,
                             "withdrawn by a node that is being stopped")
--- a/src/apricothinge/platform/handlers.py
+++ b/src/apricothinge/platform/handlers.py
@@ -46,11 +46,11 @@
         path = request.path
         content = request.body.prefix
         if path.startswith(wire.CHECK_IN_PATH_PREFIX):
-            self._node.check_ins.check_in(
+            await self._node.check_ins.check_in(
                 wire.decode_check_in(path[len(wire.CHECK_IN_PATH_PREFIX):],
                                      content))
         elif path.startswith(wire.DEREGISTER_PATH_PREFIX):
-            self._node.check_ins.deregister(
+            await self._node.check_ins.deregister(
                 path[len(wire.DEREGISTER_PATH_PREFIX):],
                 wire.decode_deregistration(content))
         else:
--- a/tests/mesh_fleet.py
+++ b/tests/mesh_fleet.py
@@ -192,8 +192,22 @@
 
     async def restart_node(self, index):
         """Replaces the process of a node by a new one at its addresses."""
+        await self.nodes[index].stop()
+        await self._start_successor(index)
+
+    async def restart_all(self):
+        """Replaces all processes at once; only the disk of control is kept."""
+        await asyncio.gather(*(mesh_node.stop() for mesh_node in self.nodes))
+        await self.control.stop()
+        for index in range(len(self.nodes)):
+            await self._start_successor(index)
+        await self.start_control()
+        await self.wait_until(
+            lambda: all(mesh_node.ready for mesh_node in self.nodes))
+
+    async def _start_successor(self, index):
+        """Starts a node after its end; its upstream checks in at once."""
         old = self.nodes[index]
-        await old.stop()
         restarted = node.MeshNode(
             msgspec.structs.replace(old._settings,
                                     caller=str(old.caller),
--- a/tests/test_attachment.py
+++ b/tests/test_attachment.py
@@ -24,6 +24,7 @@
 
         node_attachment = attachment.Attachment(mock.Mock(), mock.Mock(),
                                                 mock.Mock(), ["a", "b", "c"],
+                                                mock.Mock(), mock.Mock(),
                                                 mock.Mock())
         node_attachment._silent_address = silent
         with mock.patch.object(attachment, "_RECONNECT_DELAY_S", 0.0), \
--- a/tests/test_subset.py
+++ b/tests/test_subset.py
@@ -138,12 +138,12 @@
             service="t",
             address=changed_node._settings.upstream)
         with self.assertRaises(errors.CallError):
-            changed_node.check_ins.check_in(check_in)
+            await changed_node.check_ins.check_in(check_in)
         self.assertEqual((await self.mesh.send_request(index=1))[0], 200)
         changed_node.apply_settings(
             msgspec.structs.replace(changed_node._settings, service="t"))
         changed_node.upstream.deregister("u0", None)
-        changed_node.check_ins.check_in(check_in)
+        await changed_node.check_ins.check_in(check_in)
         router = self.mesh.nodes[1]._router
         await self.mesh.wait_until(lambda: router.by_instance[
             "n0"].service == "t" and not router.by_instance["n0"].draining)
