Refuse entries that no message can carry

Here, a check-in with 'slots' or 'born' beyond 64 bits was acknowledged, after which no message of its node could be encoded. A deep check-in or desired state was answered 500. A negative limit was acknowledged, and neither the leader nor a node could decode the state. A row with a port out of range ended the task that keeps its link.

Cause: input was checked against the decoder of the platform alone, and messages and headers carry less.

Change: bounds on numbers and identifiers of check-ins; a desired state is decoded as nodes will before it is acknowledged; addresses have a port in range, and a row without one is passed over.

--- a/src/apricothinge/mesh/control.py
+++ b/src/apricothinge/mesh/control.py
@@ -390,12 +390,15 @@
         for address in list(self._known_addresses):
             if address == str(self.link):
                 continue
-            parsed_address = settings.parse_address(address)
             try:
+                parsed_address = settings.parse_address(address)
                 link = await connection.dial(parsed_address.host,
                                              parsed_address.port, self,
                                              self._monitor)
-            except OSError:
+            except (OSError, ValueError) as error:
+                log.event("control:unreachable",
+                          address=address,
+                          error=str(error))
                 continue
             link.send(self._hello)
             link.send(request)
--- a/src/apricothinge/mesh/peers.py
+++ b/src/apricothinge/mesh/peers.py
@@ -205,9 +205,17 @@
                    for peer in self.by_instance.values())
 
     def update_row(self, row: frames.NodeRow) -> None:
-        """Adds or updates a node by its row from control."""
+        """Adds or updates a node by its row from control.
+
+        A row whose address is not valid is ignored, so that others can be used.
+        """
         if row.instance == self._own_instance:
             return
+        try:
+            settings.parse_address(row.address)
+        except ValueError as error:
+            log.event("node:row_invalid", node=row.instance, error=str(error))
+            return
         peer = self.by_instance.get(row.instance)
         stale = (peer is not None and row.incarnation < peer.row.incarnation)
         if (peer is not None and not stale and peer.row.address != row.address):
--- a/src/apricothinge/platform/wire.py
+++ b/src/apricothinge/platform/wire.py
@@ -4,8 +4,9 @@
 """
 
 import hashlib
+import math
 import re
-from typing import Annotated, Any, Final, Literal
+from typing import Annotated, Any, Final, Literal, TypeVar
 
 import msgspec
 
@@ -45,6 +46,16 @@
 # Upper bound that the platform sets on the timeout of a route.
 _MAX_TIMEOUT_S: Final = 600.0
 _VERSION_PATTERN: Final = re.compile(r"r?([0-9]{1,18})")
+_UPSTREAM_ID_PATTERN: Final = re.compile(r"[!-$&-.0-~]{1,128}")
+# Far above what upstreams name, and within what all messages can carry.
+_MAX_SLOTS: Final = 1_000_000
+_MAX_INTEGER: Final = 1 << 53
+_MAX_COLD_S: Final = 86_400.0
+# Beyond these, a number means the same as the bound.
+_MAX_PRIORITY: Final = 1_000_000
+_MAX_RATE: Final = 1e9
+
+_Report = TypeVar("_Report", bound=msgspec.Struct)
 
 
 class _CheckIn(msgspec.Struct):
@@ -66,11 +77,13 @@
     address: str
     zone: str
     version: str
-    slots: Annotated[int, msgspec.Meta(ge=1)]
+    slots: Annotated[int, msgspec.Meta(ge=1, le=_MAX_SLOTS)]
     state: Literal["ready", "draining"]
-    seq: int
-    born: int
-    coldLeftS: float  # pylint: disable=invalid-name
+    seq: Annotated[int, msgspec.Meta(ge=0, le=_MAX_INTEGER)]
+    born: Annotated[int, msgspec.Meta(ge=0, le=_MAX_INTEGER)]
+    coldLeftS: Annotated[  # pylint: disable=invalid-name
+        float,
+        msgspec.Meta(ge=-_MAX_COLD_S, le=_MAX_COLD_S)]
 
 
 class _Deregistration(msgspec.Struct):
@@ -81,7 +94,7 @@
             from an instance started later under the same name.
     """
 
-    born: int | None = None
+    born: Annotated[int, msgspec.Meta(ge=0, le=_MAX_INTEGER)] | None = None
 
 
 class _Table(msgspec.Struct):
@@ -170,8 +183,8 @@
 
 
 class _Limits(msgspec.Struct, rename="camel"):
-    max_header_bytes: int = 32768
-    max_body_bytes: int = 64 << 20
+    max_header_bytes: Annotated[int, msgspec.Meta(ge=0)] = 32768
+    max_body_bytes: Annotated[int, msgspec.Meta(ge=0)] = 64 << 20
     header_timeout_s: float = 10.0
     idle_timeout_s: float = 75.0
 
@@ -249,14 +262,35 @@
     for part in parts:
         if part.weight < 0:
             raise _invalid_field(f"{field} weight", part.weight, "at least 0")
-    if not sum(part.weight for part in parts) > 0:
-        raise _invalid_field(f"{field} weights", "a sum of 0", "more than 0")
-    objective_s = (row.timeout_s
-                   if row.slo_latency_s is None else row.slo_latency_s)
+    weights = sum(part.weight for part in parts)
+    if not 0 < weights < math.inf:
+        raise _invalid_field(f"{field} weights", f"a sum of {weights:g}",
+                             "more than 0, and finite")
+    objective_s = row.slo_latency_s
+    if objective_s is None or objective_s <= 0:
+        objective_s = row.timeout_s
     return documents.Route(row.name, row.hostname, row.path_prefix, kind,
-                           row.timeout_s, objective_s, row.priority,
-                           row.max_attempts, row.allow_anonymous, parts,
-                           row.allowed_regions or None)
+                           row.timeout_s, min(objective_s, _MAX_TIMEOUT_S),
+                           _bounded_priority(row.priority), row.max_attempts,
+                           row.allow_anonymous, parts, row.allowed_regions or
+                           None)
+
+
+def _bounded_priority(priority: int) -> int:
+    return max(0, min(priority, _MAX_PRIORITY))
+
+
+def _bounded_rate(rate: float) -> float:
+    return max(0.0, min(rate, _MAX_RATE))
+
+
+def _check_readable(document: documents.Document) -> None:
+    """Checks that nodes can decode a document, whatever its numbers are."""
+    try:
+        documents.unpack(documents.pack(document))
+    except (msgspec.MsgspecError, OverflowError, ValueError) as error:
+        raise errors.ApricothingeError(errors.Kind.CONFIGURATION_INVALID,
+                                       str(error)) from None
 
 
 def _check_unique(document: documents.Document) -> None:
@@ -297,7 +331,7 @@
         services = msgspec.convert(state.services.to_dicts(), list[_Service])
         tenants = (None if state.tenants is None else msgspec.convert(
             state.tenants.to_dicts(), list[_Tenant]))
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise errors.ApricothingeError(errors.Kind.CONFIGURATION_INVALID,
                                        str(error)) from None
     service_names = {row.name for row in services}
@@ -310,14 +344,16 @@
                               row.cold_per_s) for row in services
         ], None if tenants is None else [
             documents.Organisation(
-                row.name, row.api_keys, row.priority, row.rate_per_s, row.burst,
-                row.allowed_regions or None) for row in tenants
+                row.name, row.api_keys, _bounded_priority(row.priority),
+                _bounded_rate(row.rate_per_s), _bounded_rate(
+                    row.burst), row.allowed_regions or None) for row in tenants
         ],
         documents.ClientLimits(state.limits.max_header_bytes,
                                state.limits.max_body_bytes,
                                state.limits.header_timeout_s,
                                state.limits.idle_timeout_s))
     _check_unique(document)
+    _check_readable(document)
     base_version = _parse_version(
         (base_version_header or b"0").decode("latin-1").strip(), "Base-Version")
     digest = hashlib.sha256(msgspec.json.encode(decoded, order="deterministic"))
@@ -332,14 +368,14 @@
         errors.CallError: MALFORMED_REQUEST; the body is not valid. An upstream
             sends all fields, so one that is missing is another writer's fault.
     """
-    try:
-        report = msgspec.json.decode(content, type=_CheckIn)
-    except msgspec.MsgspecError as error:
+    if not _UPSTREAM_ID_PATTERN.fullmatch(upstream_id):
         raise errors.CallError(errors.Kind.MALFORMED_REQUEST,
-                               str(error)) from None
+                               f"found identifier {upstream_id[:200]!r}")
+    report = _decode_report(content, _CheckIn)
     return lifetimes.CheckIn(upstream_id, report.born, report.seq,
                              report.service, report.address, report.slots,
-                             report.state == "draining", report.coldLeftS)
+                             report.state == "draining",
+                             max(0.0, report.coldLeftS))
 
 
 def decode_deregistration(content: bytes) -> int | None:
@@ -353,8 +389,12 @@
     """
     if not content:
         return None
+    return _decode_report(content, _Deregistration).born
+
+
+def _decode_report(content: bytes, schema: type[_Report]) -> _Report:
     try:
-        return msgspec.json.decode(content, type=_Deregistration).born
-    except msgspec.MsgspecError as error:
+        return msgspec.json.decode(content, type=schema)
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise errors.CallError(errors.Kind.MALFORMED_REQUEST,
                                str(error)) from None
--- a/src/apricothinge/settings.py
+++ b/src/apricothinge/settings.py
@@ -14,7 +14,8 @@
     "Settings", "parse_address", "read"
 ]
 
-_Port = Annotated[int, msgspec.Meta(ge=0, le=65535)]
+_MAX_PORT = 65535
+_Port = Annotated[int, msgspec.Meta(ge=0, le=_MAX_PORT)]
 _Name = Annotated[str,
                   msgspec.Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
 _PositiveFloat = Annotated[float, msgspec.Meta(gt=0)]
@@ -40,6 +41,9 @@
     """
     host, _, port = text.rpartition(":")
     ipaddress.ip_address(host.strip("[]"))
+    if not (port.isascii() and port.isdigit() and int(port) <= _MAX_PORT):
+        raise ValueError(f"{text!r}: found port {port!r}, expected 0 to"
+                         f" {_MAX_PORT}")
     return Address(host.strip("[]"), int(port))
 
 
