Read the content of requests that offer an upgrade

Cause: the parser ends such a request with its head, the codec ignored what follows, and nothing compared the content with its declared length.

Change: the content is read by its framing with a second parser, and content that is not as long as declared is an error.

Evidence: two tests of the codec failed before.

--- a/src/apricothinge/web/messages.py
+++ b/src/apricothinge/web/messages.py
@@ -93,6 +93,13 @@
             raise errors.CallError(errors.Kind.CONTENT_TOO_LARGE)
         return chunk
 
+    def _check_length(self) -> None:
+        """Checks that the content is as long as was declared."""
+        if self.length is not None and self._size != self.length:
+            raise errors.CallError(
+                errors.Kind.MALFORMED_REQUEST,
+                f"found {self._size} bytes of content, expected {self.length}")
+
     async def buffer(self, max_bytes: int) -> None:
         """Reads into `prefix` until the content ends or exceeds a size.
 
@@ -115,6 +122,7 @@
             size += len(chunk)
         self.prefix = b"".join(parts)
         if self.complete:
+            self._check_length()
             self.length = len(self.prefix)
 
     @property
@@ -132,6 +140,8 @@
         while True:
             try:
                 chunk = await self._read_chunk()
+                if not chunk:
+                    self._check_length()
             except errors.CallError as error:
                 # The reader may have passed on what it got so far.
                 error.not_run = False
--- a/src/apricothinge/web/wire.py
+++ b/src/apricothinge/web/wire.py
@@ -126,7 +126,8 @@
                  "_parser", "_events", "_error", "_input_ended", "_in_message",
                  "_in_head", "_overhead_bytes", "_max_head_bytes", "_target",
                  "_headers", "_keep_alive", "close_delimited", "_chunked",
-                 "_omits_content", "_method", "_ignores_input", "received_at")
+                 "_omits_content", "_method", "_ignores_input", "received_at",
+                 "_repeats_head")
 
     def __init__(self, server: bool, max_head_bytes: int) -> None:
         """Creates a codec that expects the start of a message.
@@ -158,29 +159,36 @@
         self._omits_content = False
         self._method = b""
         self._ignores_input = False
+        self._repeats_head = False
         self.received_at = 0.0
 
     # Parser callbacks.
 
     def on_message_begin(self) -> None:
         """Starts a message; called by the parser."""
+        if self._ignores_input:
+            return
         self._in_message = True
         self._in_head = True
-        self._target = b""
-        self._headers = []
+        if not self._repeats_head:
+            self._target = b""
+            self._headers = []
 
     def on_url(self, url: bytes) -> None:
         """Appends to the target of a request; called by the parser."""
-        self._target += url
+        if not self._repeats_head:
+            self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Adds a header, ignoring trailers; called by the parser."""
-        if self._in_head:
+        if self._in_head and not self._repeats_head:
             self._headers.append((name.lower(), value.strip(b" \t")))
 
     def on_headers_complete(self) -> None:
         """Finishes the head of a message; called by the parser."""
         self._in_head = False
+        if self._repeats_head:
+            return
         version = self._parser.get_http_version().encode()
         keep_alive = version == _HTTP_1_1 and self._parser.should_keep_alive()
         if any(name == b"transfer-encoding" and value.lower() != b"chunked"
@@ -241,6 +249,9 @@
                 self._parser.get_status_code() < _MIN_FINAL_STATUS):
             return
         self._events.append(_END)
+        # What follows a request that offers an upgrade may be in the protocol
+        # that was offered.
+        self._ignores_input = self._repeats_head
 
     # Reading.
 
@@ -248,6 +259,10 @@
         if self._error is None:
             self._error = ProtocolError(detail, too_large)
 
+    def _fail_parsing(self, error: Exception) -> None:
+        if not self._ignores_input:
+            self._fail(str(error))
+
     def receive_data(self, data: bytes) -> None:
         """Parses input; empty input means that the peer has sent EOF."""
         if not data:
@@ -258,15 +273,10 @@
         event_count = len(self._events)
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            # Upgrades are not supported: the request is served as HTTP, and
-            # later input is ignored.
-            self._ignores_input = True
-            for event in self._events:
-                if isinstance(event, MessageHead):
-                    event.keep_alive = False
+        except httptools.HttpParserUpgrade as upgrade:
+            self._decline_upgrade(data[upgrade.args[0]:])
         except httptools.HttpParserError as error:
-            self._fail(str(error))
+            self._fail_parsing(error)
         if len(self._events) > event_count:
             self._overhead_bytes = 0
             return
@@ -278,6 +288,39 @@
                        if self._in_head else "too much input without content",
                        too_large=self._in_head)
 
+    def _decline_upgrade(self, data: bytes) -> None:
+        """Goes on with a request that offers an upgrade, as HTTP/1.1.
+
+        The parser ends such a request with its head, although its content
+        follows. Another parser reads it; input behind the request is ignored.
+
+        Args:
+            data: Input behind the head.
+        """
+        if self._error is not None or self._ignores_input:
+            return
+        for event in self._events:
+            if isinstance(event, MessageHead):
+                event.keep_alive = False
+        framing = [
+            name + b": " + value
+            for name, value in self._headers
+            if name in (b"content-length", b"transfer-encoding")
+        ]
+        if not framing or self._parser.get_method() == b"CONNECT":
+            self._ignores_input = True
+            return
+        self._events.pop()
+        self._repeats_head = True
+        self._parser = httptools.HttpRequestParser(self)
+        try:
+            self._parser.feed_data(b"POST / HTTP/1.1\r\n" +
+                                   b"\r\n".join(framing) + b"\r\n\r\n")
+            self._parser.feed_data(data)
+        except (httptools.HttpParserUpgrade,
+                httptools.HttpParserError) as error:
+            self._fail_parsing(error)
+
     def ignore_input(self) -> None:
         """Discards all input from now on, whether it is valid or not."""
         self._ignores_input = True
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 
+from apricothinge import errors
 from apricothinge import settings
 from apricothinge.web import messages
 from apricothinge.web import server
@@ -16,6 +17,36 @@
         return messages.Response(200, [], request.target.encode())
 
 
+class BodyTest(unittest.IsolatedAsyncioTestCase):
+    """The content of a request."""
+
+    @staticmethod
+    def _body(declared, *chunks):
+        remaining = [*chunks, b""]
+
+        async def read():
+            return remaining.pop(0)
+
+        return messages.Body(declared, read)
+
+    async def test_end_before_declared_length(self):
+        """Guards against content that is lost and yet counts as whole."""
+        for declared, chunks in ((5, ()), (5, (b"ab",)), (1, (b"ab",))):
+            with self.assertRaises(errors.CallError):
+                await self._body(declared, *chunks).buffer(100)
+            with self.assertRaises(errors.CallError):
+                async for _ in self._body(declared, *chunks).chunks():
+                    pass
+
+    async def test_declared_length(self):
+        """Content of the declared length, or of none, is read to its end."""
+        for declared in (4, None):
+            body = self._body(declared, b"ab", b"cd")
+            await body.buffer(100)
+            self.assertEqual((b"abcd", True, 4),
+                             (body.prefix, body.complete, body.length))
+
+
 class ServerTest(unittest.IsolatedAsyncioTestCase):
     """Connections that end in unusual ways."""
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -30,6 +30,14 @@
             events.append(event.data)
 
 
+def _read_all(*parts):
+    """Returns the events of a request that arrives in parts."""
+    codec = wire.Http1Codec(True, 65536)
+    for part in parts:
+        codec.receive_data(part)
+    return _read_events(codec)
+
+
 def _client_codec(method="GET"):
     codec = wire.Http1Codec(False, 65536)
     codec.request_head(method, "/a", [(b"host", b"h")])
@@ -131,6 +139,33 @@
         codec.end()
         self.assertFalse(codec.reusable)
 
+    def test_content_beside_offer_of_upgrade(self):
+        """Guards against the loss of content that follows such an offer."""
+        for offer in (b"connection: Upgrade, HTTP2-Settings\r\n"
+                      b"upgrade: h2c\r\nhttp2-settings: AAMAAABkAAQ\r\n",
+                      b"upgrade: websocket\r\nconnection: keep-alive, upgrade"
+                      b"\r\n"):
+            for request in (_POST, _CHUNKED):
+                expected = _read_all(request)
+                start, _, rest = request.partition(b"host: h\r\n")
+                offered = start + b"host: h\r\n" + offer + rest
+                for behind in (b"", _GET, b"\x00garbage", offered):
+                    for end in range(len(offered) + 1):
+                        parts = (offered[:end], offered[end:] + behind)
+                        self.assertEqual(expected, _read_all(*parts))
+
+    def test_cut_content_beside_offer_of_upgrade(self):
+        """Guards against cut content that looks complete."""
+        start, _, rest = _POST.partition(b"host: h\r\n")
+        request = (start + b"host: h\r\nconnection: upgrade\r\n"
+                   b"upgrade: h2c\r\n" + rest)
+        for end in range(1, len(request)):
+            codec = wire.Http1Codec(True, 65536)
+            codec.receive_data(request[:end])
+            codec.receive_data(b"")
+            with self.assertRaises(wire.ProtocolError):
+                _read_events(codec)
+
     def test_keep_alive(self):
         """A connection is reusable except after close or with HTTP/1.0."""
         for head, expected in ((b"GET /a HTTP/1.1\r\nhost: h\r\n\r\n",
