Bound the time for the content of a response

Cause: the deadline bounded the wait for the head; content was bounded by silence at the upstream's own node, each wait anew, and by nothing on a link.

Change: mesh/late_content.py counts the waits after the deadline in all, beside the upstream and at the entry.

--- a/src/apricothinge/mesh/dispatch.py
+++ b/src/apricothinge/mesh/dispatch.py
@@ -8,6 +8,7 @@
 from apricothinge import metrics
 from apricothinge.link import frames
 from apricothinge.mesh import costs
+from apricothinge.mesh import late_content
 from apricothinge.mesh import names
 from apricothinge.mesh import peers
 from apricothinge.mesh import streams
@@ -26,6 +27,7 @@
 # An upstream that enforces the deadline itself responds shortly after it, and
 # its response goes before one of this node.
 _RESPONSE_SLACK_S: Final = 0.1
+_MAX_LATE_CONTENT_S: Final = 0.3
 _RETRY_AFTER_S: Final = 0.5
 _FAILURE_STATUSES: Final = (500, 502)
 
@@ -231,7 +233,7 @@
         try:
             async with asyncio.timeout_at(upstream_request.deadline +
                                           _RESPONSE_SLACK_S):
-                return await late_response.wait()
+                response = await late_response.wait()
         except TimeoutError:
             raise errors.CallError(
                 errors.Kind.DEADLINE_EXCEEDED,
@@ -240,6 +242,9 @@
         except client.ExchangeFailed as error:
             raise errors.CallError(errors.Kind.UPSTREAM_FAILED,
                                    str(error)) from None
+        late_content.limit(response, upstream_request.deadline,
+                           _MAX_LATE_CONTENT_S)
+        return response
 
     def _has_time(self, upstream_request: upstream.UpstreamRequest) -> bool:
         """Returns whether another attempt could still be answered."""
@@ -321,7 +326,7 @@
         try:
             async with asyncio.timeout_at(upstream_request.deadline +
                                           _RESPONSE_SLACK_S):
-                return await peer.outgoing_calls.call(
+                response = await peer.outgoing_calls.call(
                     upstream_request,
                     hedged=(upstream_request.call.idempotent and
                             upstream_request.body.complete))
@@ -329,6 +334,9 @@
             raise errors.CallError(
                 errors.Kind.DEADLINE_EXCEEDED,
                 f"no response from {target.instance}") from None
+        late_content.limit(response, upstream_request.deadline,
+                           _MAX_LATE_CONTENT_S)
+        return response
 
     def _record_error(self, target: routing.Upstream,
                       error: errors.CallError) -> None:
--- a/src/apricothinge/mesh/upstream.py
+++ b/src/apricothinge/mesh/upstream.py
@@ -16,6 +16,7 @@
 from apricothinge.mesh import announcements
 from apricothinge.mesh import costs
 from apricothinge.mesh import departures
+from apricothinge.mesh import late_content
 from apricothinge.mesh import lifetimes
 from apricothinge.mesh import names
 from apricothinge.mesh import parents
@@ -34,9 +35,8 @@
 _QUEUE_CHECK_INTERVAL_S: Final = 0.02
 # An upstream that enforces the deadline itself responds shortly after it.
 _RESPONSE_SLACK_S: Final = 0.05
-# Content that is still arriving is delivered past the deadline, but silence of
-# this many seconds after it ends the response.
-_MAX_LATE_STALL_S: Final = 1.0
+# The entry waits longer, so that it hears of the end.
+_MAX_LATE_CONTENT_S: Final = 0.2
 
 
 class UpstreamRequest:
@@ -397,27 +397,11 @@
             self._record_completion(upstream_request, latest, response,
                                     arrived_at, started_at)
         if response.rest is not None:
-            response.rest = self._limit_stalls(response.rest,
-                                               upstream_request.deadline)
+            late_content.limit(response, upstream_request.deadline,
+                               _MAX_LATE_CONTENT_S)
             response.on_done = lambda complete: self._release(started_at)
         return response
 
-    def _limit_stalls(self, rest: messages.Content,
-                      deadline: float) -> messages.Content:
-        """Returns content that fails if the upstream falls silent too long."""
-
-        async def read() -> bytes:
-            limit = max(deadline, self._loop.time() + _MAX_LATE_STALL_S)
-            try:
-                async with asyncio.timeout_at(limit):
-                    return await anext(rest, b"")
-            except TimeoutError:
-                raise client.ExchangeFailed(
-                    "the upstream stopped sending content",
-                    response_started=True) from None
-
-        return messages.Content(read, lambda complete: rest.close())
-
     def _record_completion(self, upstream_request: UpstreamRequest,
                            check_in: lifetimes.CheckIn,
                            response: messages.Response | None,
