Free the slots of callers whose node is lost

What callers saw: requests were refused while the upstream was idle, as its slots were kept for responses to a node that was lost.

Cause: such a node neither reads the response nor cancels the call, and a silent link stays open while calls run on it.

Change: calls of a silent node are cancelled half a second after their deadline.

Evidence: test_slot_of_lost_caller failed on the commit before.

--- a/src/apricothinge/mesh/node.py
+++ b/src/apricothinge/mesh/node.py
@@ -347,6 +347,7 @@
                 self._send_status()
         if self._ticks % _EXPIRY_INTERVAL_TICKS == 0:
             self._pool.expire(now)
+            self.incoming_calls.cancel_undeliverable(now)
             self.state.crash_table.tick(now)
 
     def _load_changed(self, load: frames.Load) -> bool:
--- a/src/apricothinge/mesh/streams.py
+++ b/src/apricothinge/mesh/streams.py
@@ -23,6 +23,8 @@
 # permits 250 MB/s per call; 1000 stalled calls buffer at most 256 MB.
 WINDOW_BYTES: Final = 256 << 10
 _CHUNK_BYTES: Final = 64 << 10
+# The node of the caller ends its wait for content sooner.
+_UNDELIVERABLE_AFTER_S: Final = 0.5
 
 CallHandler = Callable[[upstream.UpstreamRequest], Awaitable[messages.Response]]
 
@@ -471,6 +473,24 @@
             if incoming.task is not None:
                 incoming.task.cancel()
 
+    def cancel_undeliverable(self, now: float) -> None:
+        """Cancels the calls of silent nodes that have passed their deadline.
+
+        A lost node neither reads a response nor cancels its call, which would
+        keep its slot.
+
+        Args:
+            now: Loop time in seconds.
+        """
+        for link, by_stream in self._calls_by_link.items():
+            if not by_stream or not link.is_unusable(now):
+                continue
+            for incoming in by_stream.values():
+                request = incoming.upstream_request
+                if (request is not None and incoming.task is not None and
+                        now > request.deadline + _UNDELIVERABLE_AFTER_S):
+                    incoming.task.cancel()
+
     def message_received(self, link: connection.Link,
                          message: frames.Frame) -> None:
         """Handles a message of a call."""
