Notice clients that leave while content is relayed

What callers saw: work for a client that had left went on until the next piece of its response arrived (GONE).

Cause: no callback for a disconnect was set while the server waited for content.

Change: the wait ends, and with it the call, as before the head.

Evidence: test_work_for_client_that_left failed before.

--- a/src/apricothinge/web/server.py
+++ b/src/apricothinge/web/server.py
@@ -521,15 +521,44 @@
             await self._drain_writes(conn)
             return
         conn.send(head)
+        await self._relay_content(conn, response.rest)
+        conn.send(conn.codec.end())
+
+    async def _relay_content(self, conn: connection.Connection,
+                             content: messages.Content) -> None:
+        """Sends content as it arrives, until the client disconnects.
+
+        Raises:
+            connection.ConnectionLost: The client has disconnected, or the
+                content ended early.
+        """
+        task = asyncio.current_task()
+        assert task is not None
+        client_gone = False
+
+        def stop() -> None:
+            nonlocal client_gone
+            if not client_gone and (conn.closed or self._cancel_on_half_close):
+                client_gone = True
+                task.cancel()
+
+        conn.on_disconnect = stop
         try:
-            async for chunk in response.rest:
+            async for chunk in content:
                 conn.send(conn.codec.content(chunk))
                 await self._drain_writes(conn)
+        except asyncio.CancelledError:
+            conn.abort()
+            if not client_gone:
+                raise
+            task.uncancel()
+            raise connection.ConnectionLost from None
         except Exception:
             # A truncated response must not look complete.
             conn.abort()
             raise connection.ConnectionLost from None
-        conn.send(conn.codec.end())
+        finally:
+            conn.on_disconnect = None
 
     @staticmethod
     def _discard_received_content(conn: connection.Connection) -> None:
--- a/tests/test_late_content.py
+++ b/tests/test_late_content.py
@@ -173,6 +173,28 @@
         self._silence()
         await sent
 
+    async def test_work_for_client_that_left(self):
+        """Guards against work that goes on after its client has left."""
+        await self._start(0.0, total=None)
+
+        async def handle(head, content, writer):
+            del content
+            answer = mesh_fleet.make_answer(head, bytes(1 << 20))
+            writer.write(answer[:-10])
+            try:
+                await asyncio.sleep(60)
+            finally:
+                self.ended += 1
+
+        self.mesh.upstreams[0].handler = handle
+        for index in (0, 1):
+            reader, writer = await self.mesh.connect(index)
+            writer.write(mesh_fleet.make_request(deadline_ms=800))
+            await reader.readexactly(600_000)
+            writer.close()
+            await self.mesh.wait_until(
+                lambda ended=index + 1: self.ended == ended, 0.3)
+
     async def test_slot_of_lost_caller(self):
         """Guards against a slot that is kept for a node that is lost."""
         await self._start(0.0, total=100)
