Let a departure cover the earlier lifetimes under its identifier

What callers would see: requests at an upstream that has left, after all processes were killed and a late check-in of the lifetime before arrived; the identifier is the same, so the upstream runs them (DRAIN).

Cause: a departure was compared with a lifetime exactly.

Change: it covers all lifetimes under the identifier that started before, as these follow one another.

Evidence: test_earlier_lifetime_under_the_id_of_a_departed_one failed before; the property of all orders now asserts this as well.

--- a/src/apricothinge/mesh/lifetimes.py
+++ b/src/apricothinge/mesh/lifetimes.py
@@ -78,14 +78,14 @@
         current: Latest check-in of the current lifetime, or None.
     """
 
-    __slots__ = ("current", "_departed", "_departed_before_by_id", "_rival",
-                 "_rival_since", "_rival_count")
+    __slots__ = ("current", "_departed_until_by_id", "_rival", "_rival_since",
+                 "_rival_count")
 
     def __init__(self) -> None:
         self.current: CheckIn | None = None
-        # Dictionaries, as the entries are dropped in their order.
-        self._departed: dict[tuple[str, int], None] = {}
-        self._departed_before_by_id: dict[str, int] = {}
+        # Lifetimes under one identifier follow one another, so those that
+        # started before a departed one have ended as well.
+        self._departed_until_by_id: dict[str, int] = {}
         self._rival: CheckIn | None = None
         self._rival_since = 0.0
         self._rival_count = 0
@@ -97,8 +97,7 @@
     def has_departed(self, lifetime: tuple[str, int]) -> bool:
         """Returns whether a lifetime drains or has ended."""
         upstream_id, born = lifetime
-        return (lifetime in self._departed or
-                born <= self._departed_before_by_id.get(upstream_id, -1))
+        return born <= self._departed_until_by_id.get(upstream_id, -1)
 
     def apply(self, now: float, check_in: CheckIn) -> Verdict:
         """Applies a check-in unless an earlier one goes before it.
@@ -111,7 +110,7 @@
         """
         verdict = self._judge(now, check_in)
         if check_in.draining and verdict is not Verdict.UNCERTAIN:
-            self._record_departure(check_in.lifetime)
+            self._record_departure(*check_in.lifetime)
         if verdict in (Verdict.STARTED, Verdict.CURRENT):
             check_in.draining = self.has_departed(check_in.lifetime)
             self.current = check_in
@@ -156,18 +155,14 @@
     def depart(self, lifetime: tuple[str, int]) -> bool:
         """Records that a lifetime drains or has ended.
 
-        It also ends an earlier lifetime under the same identifier.
-
         Returns:
             Whether the current lifetime has departed with this.
         """
-        self._record_departure(lifetime)
+        self._record_departure(*lifetime)
         current = self.current
         if (current is None or current.draining or
-                current.upstream_id != lifetime[0] or
-                current.born > lifetime[1]):
+                not self.has_departed(current.lifetime)):
             return False
-        self._record_departure(current.lifetime)
         current.draining = True
         return True
 
@@ -179,15 +174,10 @@
             now_ms: The current time in milliseconds; lifetimes that start later
                 are not affected.
         """
-        times = self._departed_before_by_id
-        times.pop(upstream_id, None)
-        times[upstream_id] = now_ms
-        if len(times) > _MAX_DEPARTED:
-            del times[next(iter(times))]
-
-    def _record_departure(self, lifetime: tuple[str, int]) -> None:
-        departed = self._departed
-        departed.pop(lifetime, None)
-        departed[lifetime] = None
-        if len(departed) > _MAX_DEPARTED:
-            del departed[next(iter(departed))]
+        self._record_departure(upstream_id, now_ms)
+
+    def _record_departure(self, upstream_id: str, born: int) -> None:
+        by_id = self._departed_until_by_id
+        by_id[upstream_id] = max(born, by_id.pop(upstream_id, born))
+        if len(by_id) > _MAX_DEPARTED:
+            del by_id[next(iter(by_id))]
--- a/tests/test_lifetimes.py
+++ b/tests/test_lifetimes.py
@@ -70,6 +70,15 @@
         self.words.check_in(1, 2)
         self.assertIsNone(self.words.usable)
 
+    def test_earlier_lifetime_under_the_id_of_a_departed_one(self):
+        """Guards against use by a late check-in from before a restart."""
+        self.words.table.depart(("u", 5))
+        for sequence in range(1, 6):
+            self.words.check_in(4, sequence)
+            self.assertIsNone(self.words.usable)
+        self.words.check_in(6, 1)
+        self.assertEqual(("u", 6), self.words.usable)
+
     def test_deregistration_of_unheard_upstream(self):
         """Guards against use of an upstream that left a restarted node."""
         self.words.table.depart_unheard("u", 10)
@@ -150,7 +159,9 @@
                                  draining=word == _DRAINING)
                   is not lifetimes.Verdict.UNCERTAIN and word == _DRAINING):
                 departed.add((upstream_id, born))
-            self.assertNotIn(words.usable, departed)
+            for departed_id, last_born in departed:
+                if words.usable is not None and words.usable[0] == departed_id:
+                    self.assertGreater(words.usable[1], last_born)
 
     @hypothesis.settings(max_examples=100, deadline=None, derandomize=True)
     @hypothesis.given(
