Apply a changed address of the upstream

What callers would see: an upstream that is shut out, as its check-ins name another address than the settings that its node started with.

Cause: check-ins are compared with the settings, which may change.

Change: a changed settings file sets the address, for check-ins and for requests.

Evidence: test_changed_address fails without the change.

--- a/src/apricothinge/mesh/check_ins.py
+++ b/src/apricothinge/mesh/check_ins.py
@@ -19,9 +19,10 @@
     Attributes:
         service: Service that runs on this machine; empty if the settings do not
             tell.
+        address: Address at which its upstream listens.
     """
 
-    __slots__ = ("service", "_address", "_upstream", "_departure_log")
+    __slots__ = ("service", "address", "_upstream", "_departure_log")
 
     def __init__(self, service: str, address: settings.Address,
                  local_upstream: upstream.LocalUpstream,
@@ -31,11 +32,11 @@
         Args:
             service: Service that runs on this machine, or empty.
             address: Address at which its upstream listens.
-            local_upstream: What is told of it.
+            local_upstream: The upstream.
             departure_log: Records that a lifetime departs.
         """
         self.service = service
-        self._address = str(address)
+        self.address = address
         self._upstream = local_upstream
         self._departure_log = departure_log
 
@@ -49,7 +50,7 @@
         """
         says_draining = check_in.draining
         if ((self.service and check_in.service != self.service) or
-                check_in.address != self._address):
+                check_in.address != str(self.address)):
             log.event("check_in:foreign",
                       upstream=check_in.upstream_id,
                       service=check_in.service,
@@ -57,7 +58,7 @@
             raise errors.CallError(
                 errors.Kind.MALFORMED_REQUEST,
                 f"found service {check_in.service!r} at {check_in.address!r},"
-                f" expected {self.service!r} at {self._address!r}")
+                f" expected {self.service!r} at '{self.address}'")
         if not self._upstream.check_in(check_in):
             raise errors.CallError(errors.Kind.NOT_IN_FORCE)
         if says_draining:
--- a/src/apricothinge/mesh/node.py
+++ b/src/apricothinge/mesh/node.py
@@ -252,10 +252,19 @@
         return self.state.compiled is not None and not self.state.draining
 
     def apply_settings(self, changed: settings.MeshNode) -> None:
-        """Adds the seeds of changed settings, and applies their service."""
-        self._attachment.add_seeds(changed.control_links())
+        """Applies the seeds, the service and its address of changed settings.
+
+        Raises:
+            ValueError: An address is invalid; nothing has been applied.
+        """
+        seeds = changed.control_links()
+        address = settings.parse_address(changed.upstream)
+        self._attachment.add_seeds(seeds)
         self.check_ins.service = changed.service
         self.state.configured_service = changed.service
+        if address != self.check_ins.address:
+            self.check_ins.address = address
+            self.upstream.set_address(address)
 
     async def start(self) -> None:
         """Starts the servers, the link to control and the periodic tick."""
--- a/src/apricothinge/mesh/upstream.py
+++ b/src/apricothinge/mesh/upstream.py
@@ -177,6 +177,11 @@
             round(self._load_feedback.capacity_ratio, 3),
             round(self._rejection_meter.fraction(self._loop.time()), 3))
 
+    def set_address(self, address: settings.Address) -> None:
+        """Sets where the upstream listens."""
+        self._pool.close_idle(self._address)
+        self._address = address
+
     # Check-ins.
 
     def check_in(self, check_in: lifetimes.CheckIn) -> bool:
--- a/tests/test_check_ins.py
+++ b/tests/test_check_ins.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import msgspec
+
 from apricothinge import settings
 from apricothinge.platform import handlers
 from apricothinge.platform import wire
@@ -115,6 +117,24 @@
                         f"{self.address} ", "127.0.0.1:99999"):
             await self._assert_ignored(address=address)
 
+    async def test_changed_address(self):
+        """Guards against an upstream that is shut out by changed settings."""
+        await self.start()
+        moved = mesh_fleet.HandlerUpstream()
+        await moved.start()
+        self.addCleanup(moved.stop)
+        changed = self.mesh.nodes[0]
+        fields = {"address": f"127.0.0.1:{moved.port}", "born": 2000}
+        self.assertEqual(400, await self.check_in(**fields))
+        changed.apply_settings(
+            msgspec.structs.replace(changed._settings,
+                                    upstream=fields["address"]))
+        self.assertEqual(200, await self.check_in(**fields))
+        received = len(self.mesh.upstreams[0].request_heads)
+        await self.assert_serves()
+        self.assertEqual(1, len(moved.request_heads))
+        self.assertEqual(received, len(self.mesh.upstreams[0].request_heads))
+
     async def test_fields_of_another_writer(self):
         """Guards against a check-in with fields missing or of another type."""
         await self.start()
