Give endless content the time to be read in its test

The test reads 32 MiB of content without end and then leaves. Its route had a timeout of 2 s, and content now ends shortly after that, so that on a loaded machine the content ended first and the test waited at the end of its connection for good. The timeout is long enough now, and an early end fails the test; the bounds are as before.

--- a/tests/test_endless_input.py
+++ b/tests/test_endless_input.py
@@ -95,12 +95,12 @@
         await super().asyncSetUp()
         self.running = 0
 
-    async def _start(self, start, repeated):
+    async def _start(self, start, repeated, timeout_s=2.0):
         await self.mesh.start(
             services=("s", "t"),
             document=mesh_builders.document(routes=[
                 mesh_builders.route(kind=documents.RouteKind.NON_IDEMPOTENT,
-                                    timeout_s=2.0)
+                                    timeout_s=timeout_s)
             ]))
         self._set_endless(start, repeated)
 
@@ -159,22 +159,25 @@
 
     async def test_content(self):
         """Endless content is passed on in bounded memory until its caller
-        closes the connection."""
+        closes the connection, if that is before its deadline."""
         for framing, repeated in ((b"transfer-encoding: chunked",
                                    b"2000\r\n" + _BLOCK + b"\r\n"),
                                   (b"content-length: 999999999999",
                                    _BLOCK), (b"x: close-delimited", _BLOCK)):
             with self.subTest(framing):
                 if not self.mesh.nodes:
-                    await self._start(b"", b"")
+                    await self._start(b"", b"", timeout_s=120.0)
                 self._set_endless(
                     b"HTTP/1.1 200 OK\r\n" + framing + b"\r\n\r\n", repeated)
                 before_kb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
                 reader, writer = await self.mesh.connect(1)
-                writer.write(mesh_fleet.make_request(method="POST"))
+                writer.write(
+                    mesh_fleet.make_request(method="POST", deadline_ms=120_000))
                 size = 0
                 while size < 32 << 20:
-                    size += len(await reader.read(65536))
+                    data = await reader.read(65536)
+                    self.assertTrue(data, "the content ended")
+                    size += len(data)
                 writer.close()
                 await self._assert_closed_by_node()
                 grown_kb = resource.getrusage(
