Wait for all upstreams when a test fleet starts

A node uses its upstream once it has heard from control of departures, and in a fleet of more nodes than links, the start of the fleet did not wait for that.

--- a/tests/mesh_fleet.py
+++ b/tests/mesh_fleet.py
@@ -155,7 +155,12 @@
         known = mesh_node._peer_table.by_instance
         chosen = [peer for peer in known.values() if peer.chosen]
         router = mesh_node._router.by_instance
-        return (len(known) == len(self.nodes) - 1 and
+        # A node that starts uses its upstream once it has heard from control.
+        all_usable = all(
+            peer.row.upstream is not None and peer.row.upstream.usable
+            for peer in known.values())
+        return (all_usable and not mesh_node._peer_table._choice_due and
+                len(known) == len(self.nodes) - 1 and
                 len(router) == len(chosen) + 1 and
                 (len(chosen) == len(known) or len(chosen) > 12) and
                 not any(upstream.draining for upstream in router.values()))
