Show a control group that is lost when a disk is lost after a replacement

Cause: a control member that is stopped for good counts as live for 3 s, and its successor stays a learner until then. A disk that is lost in this time leaves one voter of three, although the successor has had its catch-up time.

One of three control machines is replaced as planned, the new one first; 2 s after the old one has ended another one loses its disk and returns after 3 s.

--- a/review/6/run.py
+++ b/review/6/run.py
@@ -1,8 +1,11 @@
-"""A large upload that crashes its targets comes again and again."""
+"""A machine of the core is replaced as planned; then another loses its disk."""
 
 import asyncio
+import json
 import pathlib
 import secrets
+import shutil
+import signal
 import sys
 
 FOLDER = pathlib.Path(__file__).resolve().parent
@@ -10,129 +13,135 @@
 
 import kit2  # pylint: disable=wrong-import-position
 
-_HOST = "photos.example"
-_PATH = "/photos/new"
+_HOST = "orders.example"
 _KEY = "key-of-tenant-one-0001"
-_SIZE = 100_000
-_MARK = b"CRASH"
-_RESTART_S = 2.0
-_WORK_S = 0.05
-_PERIOD_S = 4.0
-_LENGTH_S = 85.0
+_CATCH_UP_S = 4.0
+_SLACK_S = 0.5
+_GAP_S = 2.0
+_DOWN_S = 3.0
+_RECOVERY_S = 15.0
+_READ_S = 20.0
 
 
 class Case:
-    """Sends uploads, and judges what the targets saw."""
+    """Replaces machines of the core, and reads the desired state back."""
 
     def __init__(self, mesh):
         self.mesh = mesh
         self.record = mesh.record
-        self.crashes = []
-        self.poison_arrivals = []
-        self.sent_at_by_attempt = {}
-        self.statuses = {}
-
-    async def run_request(self, target, first, headers, content):
-        """Runs a request at a target."""
-        attempt = headers["attempt-id"]
-        if not content.startswith(_MARK):
-            await asyncio.sleep(_WORK_S)
-            return 200, b"stored"
-        now = self.record.now()
-        self.poison_arrivals.append((now, attempt))
-        self.record.write(f"target {target.ident} begins to run the marked"
-                          f" upload, attempt {attempt}")
-        if not kit2.TROUBLE:
-            await asyncio.sleep(_WORK_S)
-            return 200, b"stored"
-        self.crashes.append(now)
-        asyncio.get_running_loop().call_soon(self._crash, target)
-        await asyncio.sleep(1)
+
+    def _state(self):
+        return kit2.desired_state([
+            kit2.route("r-orders", _HOST, "/orders/", "desk")
+        ], ["desk"], [{
+            "name": "tenant-one",
+            "apiKeys": [_KEY],
+            "priority": 1,
+            "ratePerS": 100,
+            "burst": 100
+        }])
+
+    async def read(self, addresses):
+        """Reads the desired state; returns its version, or None."""
+        for address in addresses:
+            for _ in range(3):
+                answer = await kit2.call(address, "GET", "/v1/Config.Get")
+                if answer is None or answer[0] != 307:
+                    break
+                address = answer[1]["location"].split("/")[2]
+            status = None if answer is None else answer[0]
+            self.record.write(f"read at {address}: {status}")
+            if status == 200:
+                return json.loads(answer[2])["version"]
         return None
 
-    def _crash(self, target):
-        target.crash()
-        asyncio.get_running_loop().call_later(
-            _RESTART_S, lambda: asyncio.ensure_future(target.start()))
-
-    async def upload(self, machine, content, kind):
-        """Sends an upload at a machine and records its answer."""
-        attempt = secrets.token_hex(8)
-        self.sent_at_by_attempt[attempt] = self.record.now()
-        if kind == "marked":
-            self.record.write(f"client sends the marked upload at"
-                              f" {machine.name}, attempt {attempt}")
-        answer = await kit2.call(machine.outbound, "POST", _PATH,
-                                 [("Host", _HOST), ("Attempt-Id", attempt),
-                                  ("Deadline-Ms", "3000"),
-                                  ("Credential", _KEY)], content, 4.0)
-        status = 0 if answer is None else answer[0]
-        key = (kind, machine.service, status)
-        self.statuses[key] = self.statuses.get(key, 0) + 1
-        if kind == "marked" or status != 200:
-            self.record.write(f"{kind} upload at {machine.name}, attempt"
-                              f" {attempt}: status {status}")
-
-    async def send_ordinary(self, machine):
-        """Sends ordinary uploads at a machine."""
-        while True:
-            content = secrets.token_bytes(_SIZE)
-            await self.upload(machine, content, "ordinary")
-            await asyncio.sleep(0.3)
+    async def _add(self, number):
+        """Starts a new machine, and waits until it counts no more."""
+        process, operator = self.mesh.add_control(number)
+        self.record.write(f"{process.name} starts at a new address, with an"
+                          " empty disk")
+        process.start()
+        while await kit2.call(operator, "GET", "/v1/Config.Get") is None:
+            await asyncio.sleep(0.05)
+        self.record.write(f"{process.name} answers")
+        await asyncio.sleep(_CATCH_UP_S + _SLACK_S)
+        return operator
+
+    async def _remove(self, index):
+        """Stops a machine for good; returns when its process has ended."""
+        process = self.mesh.controls[index]
+        self.record.write(f"SIGTERM to {process.name}, which doesn't return")
+        process.signal(signal.SIGTERM)
+        stopped_at = self.record.now()
+        while process.handle.poll() is None:
+            if self.record.now() > stopped_at + kit2.GRACE_S:
+                process.signal(signal.SIGKILL)
+            await asyncio.sleep(0.02)
+        self.record.write(f"{process.name} has ended")
+
+    async def _lose_disk(self, index):
+        """A machine is down for a while and returns with an empty disk."""
+        process = self.mesh.controls[index]
+        process.end()
+        folder = self.mesh.forget_bootstrap(process)
+        shutil.rmtree(folder)
+        folder.mkdir()
+        self.record.write(f"{process.name} goes down and loses its disk")
+        await asyncio.sleep(_DOWN_S)
+        process.start()
+        self.record.write(f"{process.name} starts again")
 
     async def run(self):
         """Runs the case; returns whether the rule was broken."""
         mesh = self.mesh
         for machine in mesh.machines:
-            machine.target.on_run = self.run_request
-        await mesh.replace(
-            kit2.desired_state([
-                kit2.route("r-photos", _HOST, "/photos/", "fotos",
-                           routeType="upload"),
-                kit2.route("r-bookings", "bookings.example", "/bookings/",
-                           "agenda")
-            ], ["fotos", "agenda"], [{
-                "name": "tenant-one",
-                "apiKeys": [_KEY],
-                "priority": 1,
-                "ratePerS": 200,
-                "burst": 200
-            }]))
+            machine.target.on_run = self._answer
+        await mesh.replace(self._state())
         await mesh.wait_ready()
-        await asyncio.sleep(4.0)
-        tasks = [
-            asyncio.ensure_future(self.send_ordinary(machine))
-            for machine in mesh.machines
-        ]
-        marked = _MARK + bytes(_SIZE - len(_MARK))
-        turn = 0
-        while self.record.now() < _LENGTH_S:
-            await asyncio.sleep(_PERIOD_S)
-            machine = mesh.machines[turn % len(mesh.machines)]
-            await self.upload(machine, marked, "marked")
-            turn += 1
-        for task in tasks:
-            task.cancel()
-        return self.judge()
-
-    def judge(self):
-        """Returns whether too many retries reached targets."""
-        for (kind, service, status), count in sorted(self.statuses.items()):
-            self.record.write(f"{kind} uploads at machines of {service}:"
-                              f" {count} times status {status}")
-        self.record.write(f"crashes: {len(self.crashes)}")
-        if len(self.crashes) < 3:
-            return False
-        since = self.crashes[2] + kit2.STABLE_WINDOW_S
-        late = [
-            attempt for _, attempt in self.poison_arrivals
-            if self.sent_at_by_attempt[attempt] > since
-        ]
-        self.record.write(f"retries that reached targets, sent later than"
-                          f" {since:.1f} s: {len(late)}, allowed 3")
-        return len(late) > 3
+        await asyncio.sleep(5.0)
+        await self._send_requests()
+        operators = list(mesh.operators)
+        operators.append(await self._add(4))
+        await self._remove(0)
+        mesh.operators[:] = operators[1:]
+        operators = mesh.operators
+        await asyncio.sleep(_GAP_S)
+        if kit2.TROUBLE:
+            await self._lose_disk(1)
+        self.record.write(f"waits {_RECOVERY_S} s")
+        await asyncio.sleep(_RECOVERY_S)
+        until = self.record.now() + _READ_S
+        version = None
+        while version is None and self.record.now() < until:
+            version = await self.read(operators)
+            await asyncio.sleep(0.5)
+        self.record.write(f"acknowledged r{mesh.version}, read back {version}")
+        try:
+            await mesh.replace(self._state(), 10.0)
+        except RuntimeError as error:
+            self.record.write(f"a further change: {error}")
+        await self._send_requests()
+        return version != "r1"
+
+    async def _send_requests(self):
+        """Records how requests of clients are answered, which isn't judged."""
+        statuses = []
+        for turn in range(12):
+            machine = self.mesh.machines[turn % len(self.mesh.machines)]
+            answer = await kit2.call(machine.outbound, "GET", "/orders/1",
+                                     [("Host", _HOST),
+                                      ("Attempt-Id", secrets.token_hex(8)),
+                                      ("Deadline-Ms", "3000"),
+                                      ("Credential", _KEY)])
+            statuses.append(None if answer is None else answer[0])
+        self.record.write(f"requests of clients: {statuses}")
+
+    @staticmethod
+    async def _answer(target, first, headers, content):
+        del target, first, headers, content
+        return 200, b"done"
 
 
 if __name__ == "__main__":
     kit2.main(FOLDER, lambda mesh: Case(mesh).run(),
-              lambda folder: kit2.Mesh(folder, ["fotos", "agenda"]))
+              lambda folder: kit2.Mesh(folder, ["desk"]))
--- a/review/kit2.py
+++ b/review/kit2.py
@@ -73,7 +73,7 @@
     def __init__(self, name, command, settings_path, log_path):
         self.name = name
         self._command = command
-        self._settings_path = settings_path
+        self.settings_path = settings_path
         self._log_path = log_path
         self.handle = None
 
@@ -84,7 +84,7 @@
             for name in ("PATH", "HOME", "LANG")
             if name in os.environ
         }
-        environment["APRICOTHINGE_NODE_FILE"] = str(self._settings_path)
+        environment["APRICOTHINGE_NODE_FILE"] = str(self.settings_path)
         environment["PYTHONPATH"] = str(ROOT / "target" / "deps")
         with open(self._log_path, "ab") as log:
             self.handle = subprocess.Popen(self._command,
@@ -331,35 +331,25 @@
         }
         net = _free_network()
         control_ips = [f"{net}.1.{i + 1}" for i in range(3)]
+        spare_ips = [f"{net}.1.{i}" for i in (4, 5, 6)]
         node_ips = [
             f"{net}.{2 + k}.{i + 1}"
             for k in range(len(services))
             for i in range(len(self.zones))
         ]
-        hosts = control_ips + node_ips
+        hosts = control_ips + spare_ips + node_ips
         taken = set()
         ports = {
             name: _free_port(hosts, taken)
             for name in ("link", "control", "admin", "outbound", "readiness",
                          "app")
         }
+        self._control_command = commands["control"]
+        self._ports = ports
+        self._net = net
         self.seeds = [f"{ip}:{ports['control']}" for ip in control_ips]
-        for i, ip in enumerate(control_ips):
-            name = f"core-{i + 1}"
-            self._add_process(
-                self.controls, name, commands["control"], "mesh_control", {
-                    "instance": name,
-                    "failure_domain": self.zones[i % len(self.zones)],
-                    "link": f"{ip}:{ports['link']}",
-                    "operator": f"{ip}:{ports['control']}",
-                    "admin": f"{ip}:{ports['admin']}",
-                    "data": str(self._temporary / f"data-{name}"),
-                    "seeds": self.seeds,
-                    "control_link_port": ports["link"],
-                    "bootstrap": True,
-                    "failure_domains": list(self.zones)
-                })
-            self.operators.append(f"{ip}:{ports['control']}")
+        for i in range(len(control_ips)):
+            self.operators.append(self._make_control(i + 1, True))
         ip_iterator = iter(node_ips)
         for service in services:
             for zone in self.zones:
@@ -398,6 +388,48 @@
         processes.append(
             Process(name, command, path, self._temporary / f"{name}.log"))
 
+    def _make_control(self, number, bootstrap):
+        """Adds a control process; returns its address for operators."""
+        name = f"core-{number}"
+        ip = f"{self._net}.1.{number}"
+        ports = self._ports
+        self._add_process(
+            self.controls, name, self._control_command, "mesh_control", {
+                "instance": name,
+                "failure_domain": self.zones[(number - 1) % len(self.zones)],
+                "link": f"{ip}:{ports['link']}",
+                "operator": f"{ip}:{ports['control']}",
+                "admin": f"{ip}:{ports['admin']}",
+                "data": str(self._temporary / f"data-{name}"),
+                "seeds": self.seeds,
+                "control_link_port": ports["link"],
+                "bootstrap": bootstrap,
+                "failure_domains": list(self.zones)
+            })
+        return f"{ip}:{ports['control']}"
+
+    def add_control(self, number):
+        """Adds a machine of the core with an empty disk, not started yet.
+
+        Returns:
+            Its process and its address for operators.
+        """
+        operator = self._make_control(number, False)
+        return self.controls[-1], operator
+
+    @staticmethod
+    def forget_bootstrap(process):
+        """Writes settings that no longer say that the whole system starts.
+
+        Returns:
+            The data folder of the control process.
+        """
+        path = process.settings_path
+        fields = json.loads(path.read_text(encoding="utf-8"))
+        fields["mesh_control"]["bootstrap"] = False
+        path.write_text(json.dumps(fields), encoding="utf-8")
+        return pathlib.Path(fields["mesh_control"]["data"])
+
     def log_path(self, name):
         """Returns the path of what a process logs."""
         return self._temporary / f"{name}.log"
