Replace the leader, and lose the disk a second later, in the case of control

Cause: the case took the first member, whether it led or not, and lost the second disk 2 s after it had ended.

Case: review/6 now replaces the member that leads, and loses the second disk 3 s after the old one has ended.

--- a/review/6/run.py
+++ b/review/6/run.py
@@ -17,7 +17,7 @@
 _KEY = "key-of-tenant-one-0001"
 _CATCH_UP_S = 4.0
 _SLACK_S = 0.5
-_GAP_S = 2.0
+_GAP_S = 3.0
 _DOWN_S = 3.0
 _RECOVERY_S = 15.0
 _READ_S = 20.0
@@ -55,6 +55,16 @@
                 return json.loads(answer[2])["version"]
         return None
 
+    @staticmethod
+    async def _leader(operators):
+        """Returns the index of the machine that answers reads itself."""
+        while True:
+            for index, address in enumerate(operators):
+                answer = await kit2.call(address, "GET", "/v1/Config.Get")
+                if answer is not None and answer[0] == 200:
+                    return index
+            await asyncio.sleep(0.1)
+
     async def _add(self, number):
         """Starts a new machine, and waits until it counts no more."""
         process, operator = self.mesh.add_control(number)
@@ -102,12 +112,14 @@
         await self._send_requests()
         operators = list(mesh.operators)
         operators.append(await self._add(4))
-        await self._remove(0)
-        mesh.operators[:] = operators[1:]
+        leader = await self._leader(operators)
+        await self._remove(leader)
+        mesh.operators[:] = operators
+        del mesh.operators[leader]
         operators = mesh.operators
         await asyncio.sleep(_GAP_S)
         if kit2.TROUBLE:
-            await self._lose_disk(1)
+            await self._lose_disk(1 if leader != 1 else 2)
         self.record.write(f"waits {_RECOVERY_S} s")
         await asyncio.sleep(_RECOVERY_S)
         until = self.record.now() + _READ_S
