--- a/review/kit2.py
+++ b/review/kit2.py
@@ -556,6 +556,9 @@
     """
 
     async def guarded():
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM,
+            asyncio.current_task().cancel)
         mesh = make_mesh(folder)
         try:
             async with asyncio.timeout(115):
@@ -567,7 +570,8 @@
     with contextlib.suppress(KeyboardInterrupt):
         try:
             broken = asyncio.run(guarded())
-        except Exception as error:  # The case could not run.
+        except (Exception, asyncio.CancelledError) as error:
+            # The case could not run.
             print(f"could not run: {error!r}")
             sys.exit(2)
         print("rule broken" if broken else "rule held")
