Move the vote of a control instance before its process ends

Cause: a stop did not change the group. The stopped member stayed one of three voters until it had been silent for 3 s, counted from the election of the next leader, and its successor only followed. A disk lost meanwhile left one voter of three.

Why it works: at each moment after the stop, three of the members that are left vote. Each change moves one vote, as before.

--- a/src/apricothinge/control/raft.py
+++ b/src/apricothinge/control/raft.py
@@ -89,13 +89,16 @@
             negative for none.
         snapshot_sent_at: Send time of the latest snapshot.
         added_at: When the leader started to track the member.
+        elected_at: When the leader was elected by a group with the member;
+            minus infinity if it was added later.
     """
 
     __slots__ = ("next_index", "match_index", "acked_at", "sent_at",
-                 "peer_sent_at", "snapshot_sent_at", "added_at")
+                 "peer_sent_at", "snapshot_sent_at", "added_at", "elected_at")
 
     def __init__(self, next_index: int, now: float) -> None:
         self.added_at = now
+        self.elected_at = -math.inf
         self.next_index = next_index
         self.match_index = 0
         self.acked_at = -math.inf
@@ -103,6 +106,32 @@
         self.peer_sent_at = -1.0
         self.snapshot_sent_at = -math.inf
 
+    @property
+    def confirmed_at(self) -> float:
+        """When the member last confirmed the leader, by its election at first."""
+        return max(self.elected_at, self.acked_at)
+
+
+class _LeaderContact:
+    """What a member knows from its latest leader.
+
+    All times are on the member's clock.
+
+    Attributes:
+        at: When the leader was last heard, or the member was started.
+        leader: Its name; None before the first message, and once this member
+            was elected after it.
+        quorum_confirmed_at: When a quorum is known to have last confirmed the
+            applied state as current; minus infinity for never.
+    """
+
+    __slots__ = ("at", "leader", "quorum_confirmed_at")
+
+    def __init__(self, now: float) -> None:
+        self.at = now
+        self.leader: str | None = None
+        self.quorum_confirmed_at = -math.inf
+
 
 class Raft:
     """State machine of the consensus protocol for one member.
@@ -170,8 +199,7 @@
         self._external_promotion = external_promotion
         self._votes: set[str] = set()
         self._progress_by_member: dict[str, _Progress] = {}
-        self._leader_contact_at = now
-        self._quorum_confirmed_at = -math.inf
+        self._contact = _LeaderContact(now)
         self._election_deadline = 0.0
         self._current_term_committed = False
         self._base_members = dict(initial_members)
@@ -293,11 +321,12 @@
         """Returns the latest send time that a quorum has acknowledged.
 
         It is a time on the leader's clock; the leader counts as having
-        acknowledged `now`.
+        acknowledged `now`, and the others their votes.
         """
         ack_times = [
             now if name == self.instance else
-            self._progress_by_member[name].acked_at for name in self._voters()
+            self._progress_by_member[name].confirmed_at
+            for name in self._voters()
         ]
         if not ack_times:
             return -math.inf
@@ -311,7 +340,7 @@
             Seconds on this member's clock; minus infinity for never.
         """
         if self.role is not Role.LEADER:
-            return self._quorum_confirmed_at
+            return self._contact.quorum_confirmed_at
         if (not self._current_term_committed or
                 self.last_applied < self.commit_index):
             return -math.inf
@@ -352,8 +381,12 @@
         self._progress_by_member = {}
         self._sync_progress(now)
         for progress in self._progress_by_member.values():
-            # Check-quorum counts from the election on.
-            progress.acked_at = now
+            progress.elected_at = now
+        predecessor = self._progress_by_member.get(self._contact.leader or "")
+        if predecessor is not None:
+            # It was silent before the election already.
+            predecessor.added_at = self._contact.at
+        self._contact.leader = None
         self._pending = []
         self._enqueue(messages.EntryKind.NOOP, b"")
         self.flush(now)
@@ -373,7 +406,7 @@
             self._voted_for = ""
             self._storage.save_vote(messages.Vote(term, ""))
         if self.role is Role.LEADER:
-            self._quorum_confirmed_at = -math.inf
+            self._contact.quorum_confirmed_at = -math.inf
             self._reset_election_timer(now)
         self.role = Role.FOLLOWER
         self.leader = leader
@@ -382,8 +415,7 @@
     def _on_vote_request(self, now: float, sender: str,
                          request: messages.VoteRequest) -> None:
         leader_is_alive = (self.role is Role.LEADER or
-                           (self.leader is not None and
-                            now - self._leader_contact_at
+                           (self.leader is not None and now - self._contact.at
                             < self._timing.min_election_timeout_s))
         if leader_is_alive and request.term > self.term:
             # A member that lost only its own connection to the leader must
@@ -502,7 +534,8 @@
         """Returns the time since each member's last acknowledgement.
 
         It counts from the send time of the acknowledged request, or from when
-        the member was added if that is later.
+        the member was added or this member was elected if that is later; for
+        the previous leader from its last message.
 
         Returns:
             Seconds by name of the member; 0 for this member.
@@ -514,6 +547,19 @@
         ages[self.instance] = 0.0
         return ages
 
+    @property
+    def is_committed_learner(self) -> bool:
+        """Whether this member has no vote, by a committed configuration."""
+        return (not self._is_voter() and
+                self._members_index <= self.commit_index)
+
+    def tracked_s(self, now: float) -> dict[str, float]:
+        """Returns for how many seconds this leader has known each other member."""
+        return {
+            name: now - progress.added_at
+            for name, progress in self._progress_by_member.items()
+        }
+
     def is_caught_up(self, now: float, name: str) -> bool:
         """Returns whether a member is responsive and has nearly all entries."""
         progress = self._progress_by_member.get(name)
@@ -611,8 +657,8 @@
         self._commit_and_apply(now, min(request.commit_index, match_index))
         if (request.echoed_sent_at >= 0 and request.quorum_age_s >= 0 and
                 self.last_applied >= request.commit_index):
-            self._quorum_confirmed_at = max(
-                self._quorum_confirmed_at,
+            self._contact.quorum_confirmed_at = max(
+                self._contact.quorum_confirmed_at,
                 request.echoed_sent_at - request.quorum_age_s)
         self.outbox.append((sender,
                             messages.AppendReply(self.term, True, match_index,
@@ -622,7 +668,8 @@
         if term > self.term or self.role is not Role.FOLLOWER:
             self._step_down(now, term, leader)
         self.leader = leader
-        self._leader_contact_at = now
+        self._contact.leader = leader
+        self._contact.at = now
         self._reset_election_timer(now)
 
     def _append_missing_entries(self, entries: list[messages.Entry]) -> None:
--- a/src/apricothinge/control/raft_messages.py
+++ b/src/apricothinge/control/raft_messages.py
@@ -31,12 +31,15 @@
         voter: Whether it votes and counts towards a quorum; False for a
             learner.
         disk: Id of its data folder; empty until first contact.
+        successor: Whether it was started in addition to a complete group, to
+            take the place of another member.
     """
 
     address: settings.Address
     failure_domain: str
     voter: bool
     disk: str = ""
+    successor: bool = False
 
 
 class Entry(msgspec.Struct, frozen=True, array_like=True):
--- a/src/apricothinge/link/frames.py
+++ b/src/apricothinge/link/frames.py
@@ -374,6 +374,7 @@
         receiver: Name of the receiving member, empty if the sender does not
             name it.
         address: "IP:port" of the sender's links, empty if unknown.
+        stopping: Whether the sender's process is being stopped.
     """
 
     sender: str
@@ -381,6 +382,7 @@
     messages: list[raft_messages.Message]
     receiver: str = ""
     address: str = ""
+    stopping: bool = False
 
 
 class StepReply(_Message, tag=17):
@@ -397,12 +399,14 @@
         address: "IP:port" on which it accepts links.
         failure_domain: Failure domain of the instance.
         disk: Identifier of its data folder.
+        is_added: Whether the instance was started after the group.
     """
 
     name: str
     address: str
     failure_domain: str
     disk: str
+    is_added: bool = False
 
 
 class Joined(_Message, tag=19):
--- a/src/apricothinge/mesh/control.py
+++ b/src/apricothinge/mesh/control.py
@@ -41,6 +41,10 @@
 _READ_TIMEOUT_S: Final = 1.0
 _READ_POLL_INTERVAL_S: Final = 0.01
 _DRAIN_POLL_INTERVAL_S: Final = 0.01
+# Enough to find that a learner that was to take over the vote is silent.
+_HANDOVER_TIMEOUT_S: Final = membership.MAX_SILENCE_S + 0.5
+# Part of the grace period; the rest is left for orders in progress and the exit.
+_HANDOVER_FRACTION: Final = 0.4
 
 
 class _Identity(msgspec.Struct):
@@ -79,10 +83,11 @@
 
     Attributes:
         wrong_disk: Whether another member knows this member by another disk.
+        stopping: Whether the process of this member is being stopped.
     """
 
     __slots__ = ("_link_by_address", "_hello", "_monitor", "_handler",
-                 "wrong_disk")
+                 "wrong_disk", "stopping")
 
     def __init__(self, hello: frames.Hello,
                  monitor: connection.KeepaliveMonitor,
@@ -92,6 +97,7 @@
         self._monitor = monitor
         self._handler = handler
         self.wrong_disk = False
+        self.stopping = False
 
     async def step(self, address: settings.Address,
                    batch: rpc_messages.Batch) -> rpc_messages.Ack:
@@ -104,7 +110,8 @@
         link.send(
             frames.Step(batch.sender, batch.disk, batch.messages,
                         batch.receiver,
-                        "" if batch.address is None else str(batch.address)))
+                        "" if batch.address is None else str(batch.address),
+                        self.stopping))
         return rpc_messages.Ack(self.wrong_disk)
 
 
@@ -147,6 +154,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._ticks = 0
         self._leader_last_known_at = self._loop.time()
+        self._stopping_members: set[str] = set()
         self._member_change_task: asyncio.Task[None] | None = None
         self._join_task: asyncio.Task[None] | None = None
         self._task_by_departure: dict[machine.Depart, asyncio.Task[None]] = {}
@@ -243,10 +251,11 @@
                   revision=self.state_machine.revision)
 
     async def drain(self) -> None:
-        """Refuses new calls of operators and waits for those in progress.
+        """Refuses new calls of operators, and leaves the group in good order.
 
-        Each of them ends within the timeout of a proposal. The instance goes on
-        leading, as they need it to.
+        Calls in progress end within the timeout of a proposal. The instance
+        goes on leading, as they need it to. Then a member that only follows
+        takes over its vote, if there is one.
         """
         self._draining = True
         log.event("control:draining",
@@ -254,6 +263,36 @@
                   operations=self._operations)
         while self._operations and not self.failed.done():
             await asyncio.sleep(_DRAIN_POLL_INTERVAL_S)
+        await self._hand_over_vote()
+
+    async def _hand_over_vote(self) -> None:
+        """Waits until the leader has taken the vote from this member.
+
+        The process may not return, and until others have noticed that, the
+        group would not tolerate a further loss.
+        """
+        self._transport.stopping = True
+        self._stopping_members.add(self._name)
+        started_at = self._loop.time()
+        timeout_s = min(_HANDOVER_TIMEOUT_S,
+                        self._settings.grace_s * _HANDOVER_FRACTION)
+        while (self._may_hand_over() and not self.failed.done() and
+               self._loop.time() < started_at + timeout_s):
+            await asyncio.sleep(_DRAIN_POLL_INTERVAL_S)
+        log.event("control:handed_over",
+                  votes=not self.group_member.raft.is_committed_learner,
+                  waited_s=round(self._loop.time() - started_at, 3))
+
+    def _may_hand_over(self) -> bool:
+        """Tells whether another member may be about to replace this voter."""
+        core = self.group_member.raft
+        if core.is_committed_learner or self.group_member.suspended:
+            return False
+        if self.group_member.is_leader:
+            return (not core.may_change_members() or
+                    self._next_members(self._loop.time()) is not None)
+        return (core.leader is not None and
+                len(core.members) > 2 * self._settings.max_lost + 1)
 
     async def stop(self) -> None:
         """Stops the background tasks, the Raft group and the servers."""
@@ -286,14 +325,7 @@
                          message: frames.Frame) -> None:
         """Handles a message from a node or another control instance."""
         if isinstance(message, frames.Step):
-            ack = self.group_member.receive(
-                rpc_messages.Batch(
-                    message.sender, message.disk, message.messages,
-                    message.receiver,
-                    settings.parse_address(message.address)
-                    if message.address else None))
-            if ack.wrong_disk:
-                link.send(frames.StepReply(True))
+            self._handle_step(link, message)
         elif isinstance(message, frames.StepReply):
             self._transport.wrong_disk = message.wrong_disk
         elif isinstance(message, frames.Report):
@@ -314,6 +346,18 @@
             if message.leader:
                 self.add_seeds([message.leader])
 
+    def _handle_step(self, link: connection.Link, step: frames.Step) -> None:
+        if step.stopping:
+            self._stopping_members.add(step.sender)
+        else:
+            self._stopping_members.discard(step.sender)
+        ack = self.group_member.receive(
+            rpc_messages.Batch(
+                step.sender, step.disk, step.messages, step.receiver,
+                settings.parse_address(step.address) if step.address else None))
+        if ack.wrong_disk:
+            link.send(frames.StepReply(True))
+
     def _member_addresses(self) -> list[str]:
         addresses = [
             str(member.address)
@@ -347,9 +391,12 @@
             if self._is_confirmed_leader(
             ) and self.group_member.raft.may_change_members():
                 new_members = dict(members)
+                address = settings.parse_address(request.address)
+                returns = any(
+                    member.address == address for member in members.values())
                 new_members[request.name] = raft_messages.Member(
-                    settings.parse_address(request.address),
-                    request.failure_domain, False, request.disk)
+                    address, request.failure_domain, False, request.disk,
+                    request.is_added and not returns)
                 self._change_members(new_members)
         return frames.Joined(request.name in members, self.leader(),
                              self._member_addresses())
@@ -373,20 +420,30 @@
                   })
 
     def _adjust_members(self, now: float) -> None:
-        core = self.group_member.raft
-        if not self.group_member.is_leader or not core.may_change_members():
+        # A leader that was paused has heard nothing from anybody meanwhile.
+        if (not self._is_confirmed_leader() or
+                not self.group_member.raft.may_change_members()):
             return
-        new_members = membership.next_members(
-            core.members, core.last_contact_age_s(now),
-            {name for name in core.members if core.is_caught_up(now, name)})
+        new_members = self._next_members(now)
         if new_members is not None:
             self._change_members(new_members)
 
+    def _next_members(self, now: float) -> raft.Members | None:
+        core = self.group_member.raft
+        return membership.next_members(
+            core.members,
+            core.last_contact_age_s(now),
+            {name for name in core.members if core.is_caught_up(now, name)},
+            stopping=self._stopping_members,
+            tracked_s=core.tracked_s(now),
+            max_lost=self._settings.max_lost)
+
     async def _request_to_join(self) -> None:
         """Sends a request to join the group to every known address."""
         request = frames.Join(self._name, str(self.link),
                               self._settings.failure_domain,
-                              self._storage.disk_id)
+                              self._storage.disk_id,
+                              not self._settings.bootstrap)
         for address in list(self._known_addresses):
             if address == str(self.link):
                 continue
--- a/src/apricothinge/settings.py
+++ b/src/apricothinge/settings.py
@@ -183,6 +183,8 @@
         bootstrap: Whether the whole mesh is started for the first time.
         snapshot_entries: Number of log entries after which a snapshot is taken.
         failure_domains: Those that can be evacuated; empty if not known.
+        grace_s: As in MeshNode.
+        max_lost: Number of control instances whose loss is tolerated.
     """
 
     instance: str
@@ -196,6 +198,8 @@
     bootstrap: bool = False
     snapshot_entries: Annotated[int, msgspec.Meta(ge=10)] = 200
     failure_domains: list[str] = []
+    grace_s: _PositiveFloat = 5.0
+    max_lost: Annotated[int, msgspec.Meta(ge=0, le=3)] = 1
 
     def control_links(self) -> list[str]:
         """Returns the link addresses of the seeds."""
--- a/tests/test_control_members.py
+++ b/tests/test_control_members.py
@@ -41,16 +41,16 @@
         for instance in self.instances:
             await instance.stop()
 
-    def _make_instance(self, index, bootstrap=True):
+    def _make_instance(self, index, bootstrap=True, seeds=(1, 2, 3)):
         return control.MeshControl(
             settings.MeshControl(
                 instance=f"c{index}",
-                failure_domain="abc"[index],
+                failure_domain="abcd"[index],
                 link=f"127.0.0.{index + 1}:{self.port}",
                 operator="127.0.0.1:1",
                 admin="127.0.0.1:0",
                 data=str(self.folder / str(index)),
-                seeds=[f"127.0.0.{number}:1" for number in (1, 2, 3)],
+                seeds=[f"127.0.0.{number}:1" for number in seeds],
                 control_link_port=self.port,
                 bootstrap=bootstrap),
             time.time_ns() // 1000)
@@ -199,6 +199,65 @@
         self.assertEqual(instance.group_member.raft.term, term)
 
 
+class StoppedMemberTest(ControlGroupTest):
+    """Members that are stopped, with and without a successor."""
+
+    def _voters(self, instance):
+        members = instance.group_member.raft.members
+        return {
+            member.address.host for member in members.values() if member.voter
+        }
+
+    async def _add_successor(self):
+        self.instances.append(self._make_instance(3, bootstrap=False))
+        await self.instances[3].start()
+        await mesh_fleet.Mesh.wait_until(
+            lambda: self.instances[3].state_machine.version == self.version)
+
+    async def test_disk_lost_right_after_planned_replacement(self):
+        """Control had no leader any more: the vote had left with its member."""
+        for stops_leader in (True, False):
+            with self.subTest(stops_leader=stops_leader):
+                if not stops_leader:
+                    await self._stop_all()
+                    shutil.rmtree(self.folder)
+                    self.instances = [
+                        self._make_instance(index) for index in range(3)
+                    ]
+                    for instance in self.instances:
+                        await instance.start()
+                    self.version = 0
+                await self._replace()
+                await self._add_successor()
+                leader = await self._leader()
+                stopped = leader if stops_leader else next(
+                    instance for instance in self.instances[:3]
+                    if instance is not leader)
+                await asyncio.wait_for(stopped.drain(), 2.5)
+                await stopped.stop()
+                index = next(number for number in (0, 1, 2)
+                             if self.instances[number] is not stopped)
+                await self.instances[index].stop()
+                shutil.rmtree(self.folder / str(index))
+                await self._restart(index, bootstrap=False)
+                self.instances.remove(stopped)
+                self.assertEqual(await self._read(), b"version 1")
+                await self._replace()
+
+    async def test_stop_without_successor_keeps_vote(self):
+        """A restart shrank the group, or waited for nobody to take the vote."""
+        await self._replace()
+        for index in range(3):
+            with self.subTest(index):
+                await asyncio.wait_for(self.instances[index].drain(), 0.5)
+                await self.instances[index].stop()
+                await self._restart(index, bootstrap=False)
+                leader = await self._leader()
+                self.assertEqual(3, len(self._voters(leader)))
+                await self._replace()
+        self.assertEqual(await self._read(), b"version 4")
+
+
 class FullDiskTest(ControlGroupTest):
     """Disks that refuse every write for a while."""
 
