Join the group through members that write to the former one

Cause: an instance that had lost its disk knew only the seeds of its settings, itself among them; the two others had been replaced for good. It never joined, so the group bore no further stop.

Change: the address of a member that sends messages, possibly meant for the member that had this address before, is asked as well.

Evidence: the record of that run; test_no_seed_is_left failed before the change (the instance had not joined in 10 s) and passes now.

--- a/src/apricothinge/mesh/control.py
+++ b/src/apricothinge/mesh/control.py
@@ -351,6 +351,10 @@
             self._stopping_members.add(step.sender)
         else:
             self._stopping_members.discard(step.sender)
+        if step.address and step.address not in self._known_addresses:
+            # Possibly meant for the member that had this address before. All
+            # seeds of this instance may have been replaced.
+            self.add_seeds([step.address])
         ack = self.group_member.receive(
             rpc_messages.Batch(
                 step.sender, step.disk, step.messages, step.receiver,
--- a/tests/test_control_members.py
+++ b/tests/test_control_members.py
@@ -184,6 +184,16 @@
                 self.assertEqual(await self._read(),
                                  b"version %d" % self.version)
 
+    async def test_no_seed_is_left(self):
+        """An instance whose seeds were all replaced never joined again."""
+        await self._replace()
+        await self.instances[0].stop()
+        shutil.rmtree(self.folder / "0")
+        self.instances[0] = self._make_instance(0, False, seeds=(1, 8, 9))
+        await self.instances[0].start()
+        await self._assert_votes_under_new_name(0)
+        self.assertEqual(await self._read(), b"version 1")
+
     async def test_message_to_previous_member(self):
         """A message to the member that had this address before is ignored."""
         await self._leader()
