Leave a member without a disk out of an even group

Callers would have seen: control without a leader for good, 503 to reads and changes, when a control instance is killed for good beside its successor and another one loses its disk at that moment. Found by the list of changes in docs/design/control-membership.md.

Cause: of four voters two are gone; the two others hold everything, but can't tell this from a cut in two halves.

Change: an instance that gets messages for the former member at its address answers that this member is gone, and a group with an even number of voters decides by the majority of the others.

Why it is safe: each majority of 2m voters contains m of any 2m - 1 of them.

--- a/src/apricothinge/control/raft.py
+++ b/src/apricothinge/control/raft.py
@@ -152,6 +152,8 @@
         outbox: Receiver and message of each message to send.
         results: Index, term and result of each newly applied entry.
         snapshot_index: Index of the last entry covered by the snapshot.
+        gone_members: Names of members that are known to have lost their disk;
+            maintained by the caller.
     """
 
     def __init__(self,
@@ -188,6 +190,7 @@
         self.outbox: list[tuple[str, messages.Message]] = []
         self.results: list[tuple[int, int, object]] = []
         self.snapshot_index = 0
+        self.gone_members: set[str] = set()
         self._snapshot_term = 0
         self._voted_for = persisted.vote.voted_for
         self._log = persisted.entries
@@ -295,8 +298,21 @@
     def _voters(self) -> list[str]:
         return [name for name, member in self.members.items() if member.voter]
 
+    def _counted_voters(self) -> list[str]:
+        """Returns the voters that decide by majority.
+
+        Of an even number, 2m, one that is gone for good is left out. Each
+        majority of the 2m voters contains m of the other 2m - 1, and so one of
+        any majority of these.
+        """
+        voters = self._voters()
+        if len(voters) % 2:
+            return voters
+        gone = min(self.gone_members.intersection(voters), default=None)
+        return [name for name in voters if name != gone]
+
     def _quorum(self) -> int:
-        return len(self._voters()) // 2 + 1
+        return len(self._counted_voters()) // 2 + 1
 
     def tick(self, now: float) -> None:
         """Handles timeouts.
@@ -326,7 +342,7 @@
         ack_times = [
             now if name == self.instance else
             self._progress_by_member[name].confirmed_at
-            for name in self._voters()
+            for name in self._counted_voters()
         ]
         if not ack_times:
             return -math.inf
@@ -366,7 +382,7 @@
         self._count_votes(now)
 
     def _count_votes(self, now: float) -> None:
-        voters = set(self._voters())
+        voters = set(self._counted_voters())
         if len(self._votes & voters) < self._quorum():
             return
         if self.role is Role.PRE_CANDIDATE:
@@ -718,7 +734,7 @@
         matches = [
             self.last_index if name == self.instance else
             self._progress_by_member[name].match_index
-            for name in self._voters()
+            for name in self._counted_voters()
         ]
         if not matches:
             return
--- a/src/apricothinge/link/frames.py
+++ b/src/apricothinge/link/frames.py
@@ -386,9 +386,16 @@
 
 
 class StepReply(_Message, tag=17):
-    """Answers a Step if the sender's disk is not the expected one."""
+    """Answers a Step that does not fit.
+
+    Attributes:
+        wrong_disk: Whether the sender's disk is not the expected one.
+        gone: Name of the intended receiver, if its address belongs to a member
+            with another disk now; empty otherwise.
+    """
 
     wrong_disk: bool
+    gone: str = ""
 
 
 class Join(_Message, tag=18):
--- a/src/apricothinge/mesh/control.py
+++ b/src/apricothinge/mesh/control.py
@@ -327,7 +327,10 @@
         if isinstance(message, frames.Step):
             self._handle_step(link, message)
         elif isinstance(message, frames.StepReply):
-            self._transport.wrong_disk = message.wrong_disk
+            if message.gone:
+                self.group_member.raft.gone_members.add(message.gone)
+            else:
+                self._transport.wrong_disk = message.wrong_disk
         elif isinstance(message, frames.Report):
             if self._hub is not None:
                 self._hub.handle_report(link, message)
@@ -355,6 +358,10 @@
             # Possibly meant for the member that had this address before. All
             # seeds of this instance may have been replaced.
             self.add_seeds([step.address])
+        if step.receiver and step.receiver != self._name:
+            link.send(frames.StepReply(False, step.receiver))
+            return
+        self.group_member.raft.gone_members.discard(step.sender)
         ack = self.group_member.receive(
             rpc_messages.Batch(
                 step.sender, step.disk, step.messages, step.receiver,
--- a/tests/joining_cluster.py
+++ b/tests/joining_cluster.py
@@ -145,6 +145,15 @@
             return True
         return False
 
+    def run_step(self, name, step):
+        host = name.partition("/")[0]
+        present = self.member_by_host.get(host)
+        if present != name and present in self.rafts:
+            # The instance at the address of a lost member answers for it.
+            for core in self.rafts.values():
+                core.gone_members.add(name)
+        return super().run_step(name, step)
+
     def confirmed_leader(self):
         """Returns the leader that a quorum has recently confirmed, or None."""
         core = self.leader()
--- a/tests/test_control_changes.py
+++ b/tests/test_control_changes.py
@@ -6,6 +6,7 @@
 import random
 import unittest
 
+from tests import fakes
 from tests import joining_cluster
 
 _DETECTION_S = 2.5
@@ -106,6 +107,15 @@
                         self._replace(seed, joining_cluster.JoiningCluster.kill,
                                       gap_s, size)
 
+    def test_disk_lost_at_moment_of_kill(self):
+        """Two of four voters were gone, and the two others could not elect."""
+        for seed in range(12):
+            for gap_s in (0.0, 0.1, 0.7, 1.5):
+                for size in (3, 4):
+                    with self.subTest(seed=seed, gap_s=gap_s, size=size):
+                        self._replace(seed, joining_cluster.JoiningCluster.kill,
+                                      gap_s, size)
+
     def test_disk_lost_once_late_successor_counts(self):
         """A successor that starts after a kill was no voter in time."""
         for seed in range(30):
@@ -141,6 +151,40 @@
                 self._lose_a_disk(cluster, rng)
 
 
+class GoneMemberTest(unittest.TestCase):
+    """An even group that leaves one member without a disk out of account."""
+
+    def test_safety_in_storms(self):
+        """No two leaders of a term, and nothing committed is lost."""
+        for seed in range(200):
+            with self.subTest(seed=seed):
+                rng = random.Random(seed)
+                cluster = fakes.Cluster("abcd", seed)
+                cluster.inject_faults(rng, 120)
+                gone = rng.choice("abcd")
+                cluster.crash(gone)
+                del cluster.storages[gone]
+                for _ in range(12):
+                    for name, core in cluster.rafts.items():
+                        if rng.random() < 0.5:
+                            core.gone_members.add(gone)
+                    cluster.inject_faults(rng, 40)
+                cluster.blocked_links.clear()
+                before = len(cluster.committed)
+                down = rng.choice(sorted(cluster.storages))
+                cluster.crash(down)
+                for name in cluster.storages:
+                    if name != down:
+                        if name not in cluster.rafts:
+                            cluster.start(name)
+                        cluster.storages[name].writes_until_crash = None
+                        cluster.rafts[name].gone_members.add(gone)
+                cluster.run(6.0)
+                cluster.propose(b"last")
+                cluster.run(1.0)
+                self.assertGreater(len(cluster.committed), before)
+
+
 class RestartTest(ControlChangeTest):
     """Machines are stopped and return at their addresses with their disks."""
 
--- a/tests/test_control_members.py
+++ b/tests/test_control_members.py
@@ -254,6 +254,20 @@
                 self.assertEqual(await self._read(), b"version 1")
                 await self._replace()
 
+    async def test_disk_lost_at_moment_of_kill(self):
+        """Two of four voters were gone, and the two others had no leader."""
+        await self._replace()
+        await self._add_successor()
+        await mesh_fleet.Mesh.wait_until(lambda: self._leaders() and len(
+            self._voters(self._leaders()[0])) == 4)
+        for instance in self.instances[:2]:
+            await instance.stop()
+        shutil.rmtree(self.folder / "1")
+        await self._restart(1, bootstrap=False)
+        del self.instances[0]
+        self.assertEqual(await self._read(), b"version 1")
+        await self._replace()
+
     async def test_stop_without_successor_keeps_vote(self):
         """A restart shrank the group, or waited for nobody to take the vote."""
         await self._replace()
