Take no response that ends within an upload for whole

Cause: only a reset told a cut from an end, and an upstream that closes before the rest of the upload has arrived ends its side cleanly first.

Change: a response that ends with its connection is whole only after a clean end of the input and once the request has been sent whole.

--- a/src/apricothinge/web/client.py
+++ b/src/apricothinge/web/client.py
@@ -319,9 +319,17 @@
         if not isinstance(event, (wire.Data, wire.EndOfMessage)):
             raise ExchangeFailed("connection lost within a response",
                                  response_started=True)
-        if conn.codec.close_delimited and conn.reset:
-            raise ExchangeFailed("connection reset at the end of a response",
-                                 response_started=True)
+        if conn.codec.close_delimited:
+            if conn.reset:
+                raise ExchangeFailed(
+                    "connection reset at the end of a response",
+                    response_started=True)
+            # A server that closes before it has read the request resets the
+            # connection once more of it arrives.
+            if isinstance(event, wire.EndOfMessage) and not conn.sent_whole:
+                raise ExchangeFailed(
+                    "connection closed before the request was sent whole",
+                    response_started=True)
         return event
 
     def _stream_remaining(self, conn: connection.Connection,
--- a/src/apricothinge/web/connection.py
+++ b/src/apricothinge/web/connection.py
@@ -31,7 +31,7 @@
         transport: The transport, None before the connection is made.
         sent_bytes: Whether the current exchange has written any bytes.
         wait_deadline: Loop time in seconds at which a wait times out.
-        reset: Whether the transport closed with an error and without EOF.
+        reset: Whether the transport closed without EOF.
         idle_limit_s: Maximum idle time in seconds before the connection is no
             longer reused.
         out_of_sync: Whether a response that belongs to no exchange was
@@ -112,10 +112,11 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Wakes all waiting tasks; called by the event loop."""
+        del exc
         self.closed = True
         if not self.input_ended:
             self.input_ended = True
-            self.reset = exc is not None
+            self.reset = True
             self._needs_input = False
             self.codec.receive_data(b"")
         self._wake()
@@ -225,6 +226,13 @@
             self.sent_bytes = True
             self.transport.write(data)
 
+    @property
+    def sent_whole(self) -> bool:
+        """Whether the system has taken the whole message that was sent."""
+        return (self.codec.sending is wire.Stage.DONE and
+                (self.transport is None or
+                 not self.transport.get_write_buffer_size()))
+
     async def drain(self) -> None:
         """Waits until the write buffer has room.
 
