Refuse responses with an invalid status

Cause: the codec looked only at whether a status was below 200.

Change: a status outside 100 to 599, or 101, is no response, and the caller gets a 502 at once.

--- a/src/apricothinge/web/wire.py
+++ b/src/apricothinge/web/wire.py
@@ -17,6 +17,8 @@
 _REASON_BY_STATUS: Final = {
     status.value: status.phrase.encode() for status in http.HTTPStatus
 }
+_STATUSES: Final = range(100, 600)
+_SWITCHING_PROTOCOLS: Final = 101
 _MIN_FINAL_STATUS: Final = 200
 _NO_CONTENT_STATUSES: Final = (204, 304)
 _HTTP_1_1: Final = b"1.1"
@@ -221,6 +223,9 @@
 
     def _finish_response_head(self, version: bytes, keep_alive: bool) -> None:
         status = self._parser.get_status_code()
+        if status not in _STATUSES or status == _SWITCHING_PROTOCOLS:
+            self._fail(f"unexpected status {status}")
+            return
         if status < _MIN_FINAL_STATUS:
             return
         has_framing = status in _NO_CONTENT_STATUSES or any(
--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -1,7 +1,8 @@
-"""Tests of upstreams that answer an upload early.
+"""Tests of upstreams that answer an upload early, or with an invalid status.
 
 Operators of similar systems saw a part of a response without a length, whose
-connection was reset while the upload was being written, passed on as complete.
+connection was reset while the upload was being written, passed on as complete,
+and responses with the status 000.
 """
 
 import asyncio
@@ -17,6 +18,8 @@
 
 _ID = mesh_fleet.NAMES.request_id
 _UPLOAD_BYTES = 4 << 20
+_INVALID_STATUSES = (b"101", b"000", b"001", b"099", b"600", b"999", b"0",
+                     b"20", b"2000")
 
 
 def _head(request_head, status=b"200 OK", fields=b""):
@@ -95,6 +98,27 @@
                     lambda: self.mesh.nodes[0].upstream.row().usable)
         self.assertEqual([], breaches)
 
+    async def test_invalid_status(self):
+        """Guards against a response whose status is no status of HTTP."""
+        fields, status = b"", b""
+
+        async def serve(reader, writer):
+            head = await reader.readuntil(b"\r\n\r\n")
+            writer.write(_head(head, status + b" Odd", fields) + b"done")
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            return False
+
+        await self._start(serve)
+        for status, fields, index in itertools.product(
+                _INVALID_STATUSES,
+            (b"", b"content-length: 4\r\n", b"content-length: 0\r\n"), (0, 1)):
+            with self.subTest(status=status, fields=fields, index=index):
+                answer = await self.mesh.send_request(index, method="POST")
+                self.assertEqual(502, answer[0])
+                await self.mesh.wait_until(
+                    lambda: self.mesh.nodes[0].upstream.row().usable)
+
 
 if __name__ == "__main__":
     unittest.main()
