Guard against input without end on idle connections

Operators of similar systems saw a machine that kept all bytes of a faulty upstream, in a head or in a body, and ran out of memory. No fault found.

--- a/tests/test_endless_input.py
+++ b/tests/test_endless_input.py
@@ -222,6 +222,43 @@
         self.assertLess(loop.time() - started_at, 2.5)
         await self._assert_closed_by_node()
 
+    async def test_input_on_idle_connection(self):
+        """Bytes behind a response are not kept while no request is running."""
+        await self._start(b"", b"")
+        for repeated in (_BLOCK, b"HTTP/1.1 200 OK\r\n" + _BLOCK,
+                         mesh_fleet.make_answer(b"", _BLOCK, request_id=b"old"),
+                         b"HTTP/1.1 000 No\r\n\r\n" + _BLOCK):
+            with self.subTest(repeated[:16]):
+                before_kb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+                sent_bytes = 0
+
+                async def handle(head, content, writer, repeated=repeated):
+                    nonlocal sent_bytes
+                    del content
+                    writer.write(mesh_fleet.make_answer(head))
+                    while not writer.transport.is_closing():
+                        await writer.drain()
+                        await asyncio.sleep(0)
+                        writer.write(repeated)
+                        sent_bytes += len(repeated)
+                    return False
+
+                self._set_handler(handle)
+                self.assertIn((await self.mesh.send_request(index=1,
+                                                            method="POST"))[0],
+                              (200, 502))
+                await asyncio.sleep(1.0)
+                self.assertLess(sent_bytes, 16 << 20)
+                grown_kb = resource.getrusage(
+                    resource.RUSAGE_SELF).ru_maxrss - before_kb
+                self.assertLess(grown_kb, 24 << 10)
+                self._set_handler(None)
+                await self.mesh.wait_until(
+                    lambda: self.mesh.nodes[0].upstream.row().usable)
+                self.assertEqual(
+                    (await self.mesh.send_request(index=1,
+                                                  method="POST"))[0], 200)
+
     async def test_responses_to_other_requests(self):
         """Only a few responses are skipped on the way to the expected one."""
         await self._start(b"", b"")
