Tell large uploads apart in the crash table

Cause: the fingerprint was made from the buffered content, which for a declared length above 64 KiB was empty and for chunks had a varying length.

Change: the entry reads the first 16 KiB of larger content, and these make the fingerprint, with the length if it is declared.

--- a/src/apricothinge/mesh/entry.py
+++ b/src/apricothinge/mesh/entry.py
@@ -25,7 +25,7 @@
 
 __all__ = ["EntryHandler"]
 
-# Content up to this size is kept for retries and enters the fingerprint.
+# Content up to this size is kept for retries.
 _MAX_REPLAY_BYTES: Final = 65536
 # The priority of the organisation takes precedence over that of the route.
 _RANKS_PER_ORGANISATION_PRIORITY: Final = 100
@@ -145,7 +145,7 @@
             if refundable:
                 pending_request.charged = organisation
         pending_request.stage = pending.Stage.CONTENT
-        await body.buffer(_MAX_REPLAY_BYTES)
+        await body.buffer(_MAX_REPLAY_BYTES, crashes.FINGERPRINT_BYTES)
         if self._state.compiled is not compiled:
             # The key may have been revoked or the route changed while the
             # content was read.
@@ -315,8 +315,9 @@
             is documents.RouteKind.IDEMPOTENT, 0.0, route.latency_objective_s,
             route.name,
             crashes.request_fingerprint(organisation_name, request.method,
-                                        request.target, body.prefix), b"",
-            body.length, body.complete)
+                                        request.target,
+                                        body.sample(crashes.FINGERPRINT_BYTES)),
+            b"", body.length, body.complete)
         return upstream.UpstreamRequest(
             call, body, deadline,
             homes.common_homes(
--- a/src/apricothinge/node/dispatch.py
+++ b/src/apricothinge/node/dispatch.py
@@ -68,7 +68,8 @@
         self.budget = retries.CallTreeBudget(call_context.retry_budget)
         self.admitted_fraction = 1.0
         self.fingerprint = crashes.request_fingerprint(
-            call_context.organisation_id, method, target, body.prefix)
+            call_context.organisation_id, method, target,
+            body.sample(crashes.FINGERPRINT_BYTES))
         self.failed_in_flight = False
         self.shed = False
 
--- a/src/apricothinge/node/entry.py
+++ b/src/apricothinge/node/entry.py
@@ -10,6 +10,7 @@
 from apricothinge import lists
 from apricothinge.node import dispatch
 from apricothinge.node import state
+from apricothinge.overload import crashes
 from apricothinge.web import messages
 from apricothinge.web import server
 
@@ -162,7 +163,8 @@
         if request.body.complete:
             return
         async with self._state.wait_unsent():
-            await request.body.buffer(self._state.settings.limits.replay_bytes)
+            await request.body.buffer(self._state.settings.limits.replay_bytes,
+                                      crashes.FINGERPRINT_BYTES)
 
     def _timeout_s(self, route: lists.Route) -> float:
         return route.timeout_s or self._state.settings.limits.default_timeout_s
--- a/src/apricothinge/node/local.py
+++ b/src/apricothinge/node/local.py
@@ -13,6 +13,7 @@
 from apricothinge import settings
 from apricothinge.node import dispatch
 from apricothinge.node import state
+from apricothinge.overload import crashes
 from apricothinge.web import messages
 from apricothinge.web import server
 
@@ -111,7 +112,8 @@
         parent.record_nested_start(self._loop.time(), task)
         call: dispatch.OutgoingCall | None = None
         try:
-            await request.body.buffer(self._state.settings.limits.replay_bytes)
+            await request.body.buffer(self._state.settings.limits.replay_bytes,
+                                      crashes.FINGERPRINT_BYTES)
             call = self._create_call(request, parent, service, allocated)
             return self._strip_internal_headers(await
                                                 self._dispatcher.send(call))
--- a/src/apricothinge/node/peer.py
+++ b/src/apricothinge/node/peer.py
@@ -10,6 +10,7 @@
 from apricothinge.node import dispatch
 from apricothinge.node import serving
 from apricothinge.node import state
+from apricothinge.overload import crashes
 from apricothinge.web import messages
 from apricothinge.web import server
 
@@ -52,7 +53,8 @@
             if not name.startswith(keys.INTERNAL_PREFIX) and name != b"host"
         ])
         deadline = request.received_at + call_context.timeout_ms / 1000
-        await request.body.buffer(self._state.settings.limits.replay_bytes)
+        await request.body.buffer(self._state.settings.limits.replay_bytes,
+                                  crashes.FINGERPRINT_BYTES)
         labels = (call_context.service,
                   call_context.importance_level.name.lower())
         try:
--- a/src/apricothinge/overload/crashes.py
+++ b/src/apricothinge/overload/crashes.py
@@ -3,8 +3,10 @@
 import hashlib
 from typing import Final
 
-__all__ = ["CrashTable", "request_fingerprint"]
+__all__ = ["CrashTable", "FINGERPRINT_BYTES", "request_fingerprint"]
 
+# Of content that is streamed, this much enters the fingerprint.
+FINGERPRINT_BYTES: Final = 16384
 _CRASH_LIMIT: Final = 2
 _SUSPECT_TTL_S: Final = 600.0
 _BLOCK_S: Final = 120.0
--- a/src/apricothinge/web/messages.py
+++ b/src/apricothinge/web/messages.py
@@ -100,17 +100,20 @@
                 errors.Kind.MALFORMED_REQUEST,
                 f"found {self._size} bytes of content, expected {self.length}")
 
-    async def buffer(self, max_bytes: int) -> None:
+    async def buffer(self, max_bytes: int, min_prefix_bytes: int = 0) -> None:
         """Reads into `prefix` until the content ends or exceeds a size.
 
-        Reads nothing if the declared length is larger than that size.
-
         Args:
             max_bytes: Size beyond which the rest is left to be streamed.
+            min_prefix_bytes: Size to read of content whose declared length is
+                larger than that.
         """
-        if self.complete or (self.length is not None and
-                             self.length > max_bytes):
+        if self.complete:
             return
+        if self.length is not None and self.length > max_bytes:
+            if not min_prefix_bytes:
+                return
+            max_bytes = min_prefix_bytes - 1
         parts = [self.prefix]
         size = len(self.prefix)
         while size <= max_bytes:
@@ -125,6 +128,22 @@
             self._check_length()
             self.length = len(self.prefix)
 
+    def sample(self, max_bytes: int) -> bytes:
+        """Returns bytes that are the same each time this content is sent.
+
+        Args:
+            max_bytes: Size of what has been buffered at least, unless the
+                content is shorter.
+
+        Returns:
+            The content if it is complete, else its beginning and its length if
+            that was declared. How much more is buffered varies.
+        """
+        if self.complete:
+            return self.prefix
+        length = b"" if self.length is None else b"%d" % self.length
+        return self.prefix[:max_bytes] + length
+
     @property
     def replayable(self) -> bool:
         """Whether the content can still be sent from its beginning."""
--- a/tests/test_mesh_nodes.py
+++ b/tests/test_mesh_nodes.py
@@ -1,6 +1,7 @@
 """Tests of running mesh nodes with control and upstreams."""
 
 import asyncio
+import os
 import unittest
 from unittest import mock
 
@@ -514,6 +515,81 @@
         self.assertEqual((await self.mesh.send_request(path="/a/good"))[0], 200)
 
 
+class CrashingUploadTest(MeshTest):
+    """Large uploads, one of which crashes every upstream that runs it."""
+
+    _SIZE = 100_000
+    _MARK = b"MARK"
+
+    async def _upload(self, index, content, chunk_bytes=0):
+        """Uploads in one piece, or in chunks; returns the status."""
+        reader, writer = await self.mesh.connect(index)
+        try:
+            if chunk_bytes:
+                writer.write(
+                    mesh_fleet.make_request("/a/up",
+                                            "POST",
+                                            headers=[(b"Transfer-Encoding",
+                                                      b"chunked")]))
+                for start in range(0, len(content), chunk_bytes):
+                    chunk = content[start:start + chunk_bytes]
+                    writer.write(b"%x\r\n%s\r\n" % (len(chunk), chunk))
+                    await writer.drain()
+                writer.write(b"0\r\n\r\n")
+            else:
+                writer.write(mesh_fleet.make_request("/a/up", "POST", content))
+            return (await mesh_fleet.read_answer(reader))[0]
+        finally:
+            writer.close()
+
+    async def _serve_marked(self, upstream, content):
+        """Crashes the upstream for a while if the content is the marked one."""
+        if not content.startswith(self._MARK):
+            return False
+        self.runs += 1
+        upstream.stop()
+        await asyncio.sleep(60)
+        return True
+
+    async def test_marked_upload_is_refused_and_others_are_not(self):
+        """Large uploads shared a fingerprint: none was held back for good at
+        the machines of their service, and all were at the others."""
+        upload = mesh_builders.documents.RouteKind.NON_IDEMPOTENT
+        await self.mesh.start(
+            ("s", "t"),
+            mesh_builders.document(routes=[mesh_builders.route(kind=upload)]))
+        upstream = self.mesh.upstreams[0]
+
+        async def handle(head, content, writer):
+            if not await self._serve_marked(upstream, content):
+                writer.write(mesh_fleet.make_answer(head))
+            return True
+
+        self._set_handler(handle)
+        for chunk_sizes in ((0, 0), (7_000, 60_001)):
+            with self.subTest(chunk_sizes):
+                self.runs = 0
+                marked = self._MARK + os.urandom(8) + bytes(self._SIZE)
+                for turn in range(6):
+                    status = await self._upload(turn % 2, marked,
+                                                chunk_sizes[turn % 2])
+                    self.assertIn(status, (502, 503))
+                    if not upstream._server.is_serving():
+                        await self.mesh.wait_until(lambda: not self.mesh.nodes[
+                            0].upstream.row().usable)
+                        await upstream.start(upstream.port)
+                    await self.mesh.wait_until(
+                        lambda: self.mesh.nodes[0].upstream.row().usable)
+                    await asyncio.sleep(0.3)
+                    for index in (0, 1):
+                        for chunk_bytes in chunk_sizes:
+                            other = os.urandom(self._SIZE)
+                            self.assertEqual(
+                                200, await self._upload(index, other,
+                                                        chunk_bytes))
+                self.assertEqual(3, self.runs)
+
+
 class AnonymousRouteTest(MeshTest):
     """Routes that need no API key."""
 
