Report crashes again after each attachment to a leader

Cause: a node empties its reports when it sends them, whoever gets them.

Change: on each attachment all that is suspected or held back is reported.

--- a/src/apricothinge/mesh/attachment.py
+++ b/src/apricothinge/mesh/attachment.py
@@ -155,6 +155,8 @@
             self._sent_row = self._row_builder.build()
             token_pool = self._state.token_pool
             token_pool.reset_counts()
+            # A former leader may not have passed them on, or never got them.
+            self._state.crash_table.report_again(self._loop.time())
             link.send(
                 frames.Attach(self._sent_row, self._state.revision,
                               token_pool.available(),
--- a/src/apricothinge/overload/crashes.py
+++ b/src/apricothinge/overload/crashes.py
@@ -111,6 +111,16 @@
             if record.blocked_until or now - record.crashed_at > _SUSPECT_TTL_S:
                 del self._records[fingerprint]
 
+    def report_again(self, now: float) -> None:
+        """Puts all that is not yet in doubt again into the outbox.
+
+        The receiver of earlier reports may be gone.
+        """
+        self.outbox = [(fingerprint, crash_id)
+                       for fingerprint, record in self._records.items()
+                       if not 0 < record.blocked_until <= now
+                       for crash_id in sorted(record.crash_ids)]
+
     def crash_counts(self) -> dict[str, int]:
         """Returns the number of crashes by fingerprint, for the dump."""
         return {
--- a/tests/test_mesh_nodes.py
+++ b/tests/test_mesh_nodes.py
@@ -515,6 +515,26 @@
         self.assertEqual((await self.mesh.send_request(path="/a/good"))[0], 200)
 
 
+class CrashReportTest(MeshTest):
+    """Crashes that a node reports to control."""
+
+    async def test_reports_are_lost_with_leader(self):
+        """Crashes reported while no leader listened were never passed on."""
+        await self.mesh.start()
+        await self.mesh.control.stop()
+        await self.mesh.wait_until(
+            lambda: not self.mesh.nodes[0]._attachment.attached_to)
+        table = self.mesh.nodes[0].state.crash_table
+        for number in range(3):
+            table.record_crash(asyncio.get_running_loop().time(), "x",
+                               f"c{number}")
+        self.mesh.nodes[0]._attachment._make_report()
+        await self.mesh.start_control()
+        other = self.mesh.nodes[1].state.crash_table
+        await self.mesh.wait_until(
+            lambda: other.is_blocked(asyncio.get_running_loop().time(), "x"))
+
+
 class CrashingUploadTest(MeshTest):
     """Large uploads, one of which crashes every upstream that runs it."""
 
