Remember the crashes of a request after its block has ended

Cause: with the end of a block all that was known of the request was dropped.

Change: one further crash brings the next block, four times as long; a response clears the request.

--- a/src/apricothinge/overload/crashes.py
+++ b/src/apricothinge/overload/crashes.py
@@ -10,6 +10,9 @@
 _CRASH_LIMIT: Final = 2
 _SUSPECT_TTL_S: Final = 600.0
 _BLOCK_S: Final = 120.0
+# After a block, one further crash brings another one, this much longer.
+_BLOCK_GROWTH: Final = 4.0
+_MAX_BLOCK_S: Final = 86400.0
 _DIGEST_BYTES: Final = 16
 
 
@@ -29,17 +32,26 @@
 
     Attributes:
         crash_ids: Crashes during which the request was in flight.
-        blocked_until: End of the block in seconds; 0 if only suspected.
+        blocked_until: End of the latest block in seconds; 0 if only suspected.
+        next_block_s: Duration of the next block in seconds.
         crashed_at: Time of the last crash, in seconds.
     """
 
-    __slots__ = ("crash_ids", "blocked_until", "crashed_at")
+    __slots__ = ("crash_ids", "blocked_until", "next_block_s", "crashed_at")
 
     def __init__(self) -> None:
         self.crash_ids: set[str] = set()
         self.blocked_until = 0.0
+        self.next_block_s = _BLOCK_S
         self.crashed_at = 0.0
 
+    @property
+    def forgotten_at(self) -> float:
+        """When the request counts as harmless, in seconds."""
+        if not self.blocked_until:
+            return self.crashed_at + _SUSPECT_TTL_S
+        return self.blocked_until + max(_SUSPECT_TTL_S, self.next_block_s)
+
 
 class CrashTable:
     """Counts the crashes during which each request was in flight.
@@ -92,8 +104,11 @@
             return
         record.crash_ids.add(crash_id)
         record.crashed_at = now
-        if len(record.crash_ids) >= self._crash_limit:
-            record.blocked_until = now + _BLOCK_S
+        if (len(record.crash_ids) >= self._crash_limit and
+                record.blocked_until <= now):
+            record.blocked_until = now + record.next_block_s
+            record.next_block_s = min(record.next_block_s * _BLOCK_GROWTH,
+                                      _MAX_BLOCK_S)
         if not reported:
             self.outbox.append((fingerprint, crash_id))
 
@@ -104,11 +119,9 @@
             del self._records[fingerprint]
 
     def tick(self, now: float) -> None:
-        """Drops expired blocks and suspicions."""
+        """Drops expired suspicions, also of requests that were blocked."""
         for fingerprint, record in list(self._records.items()):
-            if record.blocked_until > now:
-                continue
-            if record.blocked_until or now - record.crashed_at > _SUSPECT_TTL_S:
+            if record.forgotten_at <= now:
                 del self._records[fingerprint]
 
     def report_again(self, now: float) -> None:
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -433,6 +433,28 @@
         table.tick(200.0)
         self.assertFalse(table.is_blocked(200.0, "x"))
 
+    def test_blocked_request_crashes_more_upstreams_later(self):
+        """After each block, a request crashed as many upstreams as before."""
+        table = crashes.CrashTable(3)
+        now, runs = 0.0, 0
+        while now < 3600.0:
+            table.tick(now)
+            if not table.is_blocked(now, "x"):
+                runs += 1
+                table.record_crash(now, "x", f"c{runs}")
+            now += 4.0
+        self.assertLessEqual(runs, 3 + 3)
+
+    def test_harmless_request_is_cleared_after_block(self):
+        """A response after a block clears the request for good."""
+        table = crashes.CrashTable()
+        table.record_crash(0.0, "x", "c1")
+        table.record_crash(0.0, "x", "c2")
+        table.tick(200.0)
+        table.record_response(200.0, "x")
+        table.record_crash(201.0, "x", "c3")
+        self.assertFalse(table.is_blocked(201.0, "x"))
+
     def test_response_clears_suspicion(self):
         """A request answered between two crashes is not blocked."""
         table = crashes.CrashTable()
