Bound the number of voters in all deployments, and soak control

Change: three to seven voters are kept, whatever max_lost says; a leader counts its own time too.

Tests of the decisions are added.

--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,7 @@
 
 soak: $(READY)
 	$(BIN)/python -m tests.soak --seed 1 --seeds 3 --seconds 8
+	$(BIN)/python -m tests.control_soak --seed 1 --seeds 2 --steps 3
 
 lint: $(READY)
 	$(BIN)/yapf --diff --recursive --exclude '*_pb2*' src tests bench
--- a/src/apricothinge/control/raft.py
+++ b/src/apricothinge/control/raft.py
@@ -565,16 +565,18 @@
 
     @property
     def is_committed_learner(self) -> bool:
-        """Whether this member has no vote, by a committed configuration."""
+        """Whether a committed configuration has this member without a vote."""
         return (not self._is_voter() and
                 self._members_index <= self.commit_index)
 
     def tracked_s(self, now: float) -> dict[str, float]:
-        """Returns for how many seconds this leader has known each other member."""
-        return {
+        """Returns for how many seconds this leader has known each member."""
+        seconds = {
             name: now - progress.added_at
             for name, progress in self._progress_by_member.items()
         }
+        seconds[self.instance] = max(seconds.values(), default=0.0)
+        return seconds
 
     def is_caught_up(self, now: float, name: str) -> bool:
         """Returns whether a member is responsive and has nearly all entries."""
--- a/src/apricothinge/mesh/control.py
+++ b/src/apricothinge/mesh/control.py
@@ -291,8 +291,8 @@
         if self.group_member.is_leader:
             return (not core.may_change_members() or
                     self._next_members(self._loop.time()) is not None)
-        return (core.leader is not None and
-                len(core.members) > 2 * self._settings.max_lost + 1)
+        return (core.leader is not None and len(core.members)
+                > membership.min_voters(self._settings.max_lost))
 
     async def stop(self) -> None:
         """Stops the background tasks, the Raft group and the servers."""
--- a/src/apricothinge/mesh/membership.py
+++ b/src/apricothinge/mesh/membership.py
@@ -4,8 +4,8 @@
 fails gives its vote to one that only follows. The number of voters is kept odd,
 so that the group can commit whenever more than half of all members are live;
 the member beyond an odd number replicates the log as a learner. While a
-successor and the instance that it replaces both run, both vote: either of two
-that are lost in a row may then be one that held a vote.
+successor and the instance that it replaces both run, both vote, so that the
+group is still complete as soon as one of them has gone.
 """
 
 from collections.abc import Set
@@ -16,7 +16,7 @@
 
 from apricothinge.control import raft
 
-__all__ = ["MAX_SILENCE_S", "live_voters", "next_members"]
+__all__ = ["MAX_SILENCE_S", "live_voters", "min_voters", "next_members"]
 
 # Longer than an election.
 MAX_SILENCE_S: Final = 1.5
@@ -52,14 +52,14 @@
     usable = _live(members, silence_s) - stopping
     voters = {name for name, member in members.items() if member.voter}
     target = _target_voters(members, usable, tracked_s or {})
-    min_voters = 2 * max_lost + 1
+    required = min_voters(max_lost)
     if len(voters & usable) < target:
         ready = sorted((usable - voters) & caught_up)
         if ready:
             return _promote(members, ready[0])
     # An odd group tolerates as many losses as the next larger, even one.
-    is_surplus = len(voters) % 2 == 0 and len(voters) > min_voters
-    if is_surplus or len(voters & usable) >= min_voters:
+    is_surplus = len(voters) % 2 == 0 and len(voters) > required
+    if is_surplus or len(voters & usable) >= required:
         unusable = voters - usable
         if unusable:
             # One that stops still helps to commit the change.
@@ -73,6 +73,15 @@
     return None
 
 
+def min_voters(max_lost: int) -> int:
+    """Returns how many voters a group has at least, once it is complete.
+
+    Args:
+        max_lost: Number of members whose loss the group has to tolerate.
+    """
+    return min(_MAX_VOTERS, 2 * max(1, max_lost) + 1)
+
+
 def live_voters(members: raft.Members, silence_s: dict[str, float]) -> int:
     """Returns the number of voters that responded lately.
 
--- a/src/apricothinge/overload/crashes.py
+++ b/src/apricothinge/overload/crashes.py
@@ -125,9 +125,12 @@
                 del self._records[fingerprint]
 
     def report_again(self, now: float) -> None:
-        """Puts all that is not yet in doubt again into the outbox.
+        """Puts all suspicions and current blocks into the outbox again.
 
-        The receiver of earlier reports may be gone.
+        Whoever received the earlier reports may be gone.
+
+        Args:
+            now: Current time in seconds.
         """
         self.outbox = [(fingerprint, crash_id)
                        for fingerprint, record in self._records.items()
--- a/src/apricothinge/settings.py
+++ b/src/apricothinge/settings.py
@@ -199,7 +199,7 @@
     snapshot_entries: Annotated[int, msgspec.Meta(ge=10)] = 200
     failure_domains: list[str] = []
     grace_s: _PositiveFloat = 5.0
-    max_lost: Annotated[int, msgspec.Meta(ge=0, le=3)] = 1
+    max_lost: Annotated[int, msgspec.Meta(ge=0)] = 1
 
     def control_links(self) -> list[str]:
         """Returns the link addresses of the seeds."""
--- a/tests/test_mesh_decisions.py
+++ b/tests/test_mesh_decisions.py
@@ -494,6 +494,61 @@
         changed = membership.next_members(changed, silence, {"a", "b", "d"})
         self.assertNotIn("c", changed)
 
+    def test_stopping_member_keeps_vote_without_another(self):
+        """A stop shrank the group, although nobody could take the vote."""
+        for max_lost, voters in ((0, "abc"), (1, "abc"), (2, "abcde"),
+                                 (9, "abcdefg")):
+            members = mesh_builders.members(voters)
+            silence = dict.fromkeys(members, 0.1) | {"a": 0.0}
+            for stopping in ({"a"}, {"b"}, {"a", "b"}, set(voters)):
+                with self.subTest(max_lost=max_lost, stopping=stopping):
+                    self.assertIsNone(
+                        membership.next_members(members,
+                                                silence,
+                                                set(members),
+                                                stopping=stopping,
+                                                max_lost=max_lost))
+
+    def test_stopping_member_gives_vote_away(self):
+        """The vote of a stopping member moves to the learner, in two steps."""
+        for stopping in "abc":
+            members = mesh_builders.members("abc", "d")
+            silence = {"a": 0.0, "b": 0.1, "c": 0.1, "d": 0.1}
+            for _ in range(2):
+                members = membership.next_members(members,
+                                                  silence,
+                                                  set(members),
+                                                  stopping={stopping})
+            self.assertEqual(
+                set("abcd") - {stopping},
+                {name for name, member in members.items() if member.voter})
+            self.assertIsNone(
+                membership.next_members(members,
+                                        silence,
+                                        set(members),
+                                        stopping={stopping}))
+
+    def test_fourth_vote_ends_without_replacement(self):
+        """A successor whose predecessor stays is no voter for good.
+
+        A cut in two halves would leave neither of them a majority of four.
+        """
+        members = mesh_builders.members("abc", "d")
+        members["d"] = msgspec.structs.replace(members["d"], successor=True)
+        silence = {"a": 0.1, "b": 0.1, "c": 0.1, "d": 0.0}
+        members = membership.next_members(members, silence, set(members))
+        self.assertTrue(members["d"].voter)
+        for tracked, changes in ((10.0, False), (70.0, True)):
+            changed = membership.next_members(members,
+                                              silence,
+                                              set(members),
+                                              tracked_s=dict.fromkeys(
+                                                  members, tracked))
+            self.assertEqual(changes, changed is not None)
+        self.assertEqual(3, sum(member.voter for member in changed.values()))
+        self.assertIsNone(
+            membership.next_members(changed, silence, set(members)))
+
     def test_three_voters_kept(self):
         """A failed voter of three is not removed without a replacement."""
         members = {
