Let a stopping member wait for the next leader

Callers would have seen: control without a leader for good, when an instance is stopped for good beside a member that only follows, and the leader loses its disk before the stopped process has ended.

Cause: a stopping member without a leader ended at once with its vote; one that was just elected ended before its follower had answered; and with two usable members the group aimed at a single voter.

Change: it waits, for at most 3 s and 0.6 of the grace period; a complete group aims at 2f + 1 voters.

--- a/src/apricothinge/mesh/control.py
+++ b/src/apricothinge/mesh/control.py
@@ -41,10 +41,11 @@
 _READ_TIMEOUT_S: Final = 1.0
 _READ_POLL_INTERVAL_S: Final = 0.01
 _DRAIN_POLL_INTERVAL_S: Final = 0.01
-# Enough to find that a learner that was to take over the vote is silent.
-_HANDOVER_TIMEOUT_S: Final = membership.MAX_SILENCE_S + 0.5
-# Part of the grace period; the rest is left for orders in progress and the exit.
-_HANDOVER_FRACTION: Final = 0.4
+# Enough for two elections, or to find that a learner that was to take over the
+# vote is silent.
+_HANDOVER_TIMEOUT_S: Final = 3.0
+# Part of the grace period after which the exit begins in any case.
+_HANDOVER_FRACTION: Final = 0.6
 
 
 class _Identity(msgspec.Struct):
@@ -258,26 +259,30 @@
         takes over its vote, if there is one.
         """
         self._draining = True
+        started_at = self._loop.time()
         log.event("control:draining",
                   instance=self._settings.instance,
                   operations=self._operations)
         while self._operations and not self.failed.done():
             await asyncio.sleep(_DRAIN_POLL_INTERVAL_S)
-        await self._hand_over_vote()
+        await self._hand_over_vote(started_at +
+                                   self._settings.grace_s * _HANDOVER_FRACTION)
 
-    async def _hand_over_vote(self) -> None:
+    async def _hand_over_vote(self, latest_end: float) -> None:
         """Waits until the leader has taken the vote from this member.
 
         The process may not return, and until others have noticed that, the
         group would not tolerate a further loss.
+
+        Args:
+            latest_end: Loop time in seconds at which to go on in any case.
         """
         self._transport.stopping = True
         self._stopping_members.add(self._name)
         started_at = self._loop.time()
-        timeout_s = min(_HANDOVER_TIMEOUT_S,
-                        self._settings.grace_s * _HANDOVER_FRACTION)
+        ends_at = min(started_at + _HANDOVER_TIMEOUT_S, latest_end)
         while (self._may_hand_over() and not self.failed.done() and
-               self._loop.time() < started_at + timeout_s):
+               self._loop.time() < ends_at):
             await asyncio.sleep(_DRAIN_POLL_INTERVAL_S)
         log.event("control:handed_over",
                   votes=not self.group_member.raft.is_committed_learner,
@@ -289,10 +294,15 @@
         if core.is_committed_learner or self.group_member.suspended:
             return False
         if self.group_member.is_leader:
+            now = self._loop.time()
             return (not core.may_change_members() or
-                    self._next_members(self._loop.time()) is not None)
-        return (core.leader is not None and len(core.members)
-                > membership.min_voters(self._settings.max_lost))
+                    self._next_members(now) is not None or
+                    membership.has_usable_learner(core.members,
+                                                  core.last_contact_age_s(now),
+                                                  self._stopping_members))
+        # A leader may still have to be elected, with the vote of this member.
+        return len(core.members) > membership.min_voters(
+            self._settings.max_lost)
 
     async def stop(self) -> None:
         """Stops the background tasks, the Raft group and the servers."""
--- a/src/apricothinge/mesh/membership.py
+++ b/src/apricothinge/mesh/membership.py
@@ -16,10 +16,10 @@
 
 from apricothinge.control import raft
 
-__all__ = ["MAX_SILENCE_S", "live_voters", "min_voters", "next_members"]
+__all__ = ["has_usable_learner", "live_voters", "min_voters", "next_members"]
 
 # Longer than an election.
-MAX_SILENCE_S: Final = 1.5
+_MAX_SILENCE_S: Final = 1.5
 # A voter that was silent for less keeps its place as a learner.
 _REMOVAL_TIMEOUT_S: Final = 3.0
 _LEARNER_TIMEOUT_S: Final = 10.0
@@ -51,8 +51,10 @@
     """
     usable = _live(members, silence_s) - stopping
     voters = {name for name, member in members.items() if member.voter}
-    target = _target_voters(members, usable, tracked_s or {})
     required = min_voters(max_lost)
+    # A complete group stays so even if few of its members are usable.
+    target = max(_target_voters(members, usable, tracked_s or {}),
+                 min(required, len(voters)))
     if len(voters & usable) < target:
         ready = sorted((usable - voters) & caught_up)
         if ready:
@@ -82,6 +84,19 @@
     return min(_MAX_VOTERS, 2 * max(1, max_lost) + 1)
 
 
+def has_usable_learner(members: raft.Members, silence_s: dict[str, float],
+                       stopping: Set[str]) -> bool:
+    """Returns whether a member could be promoted now or once it has caught up.
+
+    Args:
+        members: All members by name.
+        silence_s: Seconds since the latest response of each; 0 for the leader.
+        stopping: Names of the members whose process is being stopped.
+    """
+    return any(not members[name].voter
+               for name in _live(members, silence_s) - stopping)
+
+
 def live_voters(members: raft.Members, silence_s: dict[str, float]) -> int:
     """Returns the number of voters that responded lately.
 
@@ -116,7 +131,8 @@
 
 def _live(members: raft.Members, silence_s: dict[str, float]) -> set[str]:
     return {
-        name for name in members if silence_s.get(name, 0.0) < MAX_SILENCE_S and
+        name for name in members
+        if silence_s.get(name, 0.0) < _MAX_SILENCE_S and
         not _superseded(name, members, silence_s)
     }
 
--- a/tests/joining_cluster.py
+++ b/tests/joining_cluster.py
@@ -18,7 +18,7 @@
 _JOIN_INTERVAL_TICKS = 6
 _LEADERLESS_TIMEOUT_S = 2.0
 _MAX_QUORUM_AGE_S = 1.0
-_HANDOVER_TIMEOUT_S = 2.0
+_HANDOVER_TIMEOUT_S = 3.0
 
 
 class JoiningCluster(fakes.Cluster):
@@ -103,8 +103,11 @@
             return False
         if core.role is raft.Role.LEADER:
             return (not core.may_change_members() or
-                    self._next_members(core) is not None)
-        return core.leader is not None and len(core.members) > 3
+                    self._next_members(core) is not None or
+                    membership.has_usable_learner(
+                        core.members, core.last_contact_age_s(self.now),
+                        set(self._stopped_at)))
+        return len(core.members) > 3
 
     def restart(self, host):
         """Starts the member of a machine."""
--- a/tests/test_control_changes.py
+++ b/tests/test_control_changes.py
@@ -240,6 +240,35 @@
                             cluster.advance(rng.choice((0.0, 0.1)))
                         self._assert_restarts(cluster, rng)
 
+    def test_leader_lost_while_follower_stops(self):
+        """A member that stopped without a leader took its vote along."""
+        for seed in range(30):
+            for pause_s in (0.0, 0.05, 0.1, 0.3):
+                with self.subTest(seed=seed, pause_s=pause_s):
+                    rng = random.Random(seed)
+                    cluster = self._start(seed)
+                    cluster.add("s")
+                    cluster.advance(joining_cluster.CATCH_UP_S)
+                    # Back from its restart, this machine only follows.
+                    restarted = self._host(cluster, rng, False)
+                    cluster.stop(restarted)
+                    cluster.restart(restarted)
+                    cluster.advance(joining_cluster.CATCH_UP_S)
+                    leader = self._host(cluster, rng, True)
+                    stopped = rng.choice(
+                        sorted(
+                            set(cluster.member_by_host) - {restarted, leader}))
+                    cluster.begin_stop(stopped)
+                    cluster.advance(pause_s)
+                    cluster.lose_disk(leader)
+                    if cluster.member_by_host[stopped] in cluster.rafts:
+                        cluster.await_end(stopped)
+                    cluster.remove(stopped)
+                    cluster.restart(leader)
+                    cluster.advance(joining_cluster.CATCH_UP_S)
+                    self._acknowledge(cluster)
+                    self._assert_complete(cluster)
+
     def test_disk_lost_while_stopped_machine_is_away(self):
         """With a successor, a disk may be lost while another machine restarts."""
         for seed in range(30):
