--- a/tests/test_control_changes.py
+++ b/tests/test_control_changes.py
@@ -24,6 +24,13 @@
         self._acknowledge(cluster)
         return cluster
 
+    def _start_with_successor(self, seed):
+        """Starts a group of three and a successor that has caught up."""
+        cluster = self._start(seed)
+        cluster.add("s")
+        cluster.advance(joining_cluster.CATCH_UP_S)
+        return cluster
+
     def _acknowledge(self, cluster):
         """Commits a command within the time for recovery."""
         data = b"%d" % len(self.acknowledged)
@@ -66,7 +73,7 @@
         self._acknowledge(cluster)
 
     def _assert_complete(self, cluster):
-        """Asserts that an odd number of at least three live members vote."""
+        """Asserts that at least three live members vote."""
         cluster.advance(joining_cluster.CATCH_UP_S)
         members = cluster.confirmed_leader().members
         voters = {name for name, member in members.items() if member.voter}
@@ -136,9 +143,7 @@
         for seed in range(30):
             with self.subTest(seed=seed):
                 rng = random.Random(seed)
-                cluster = self._start(seed)
-                cluster.add("s")
-                cluster.advance(joining_cluster.CATCH_UP_S)
+                cluster = self._start_with_successor(seed)
                 host = self._host(cluster, rng, seed % 2)
                 if host == "s":
                     continue
@@ -246,9 +251,7 @@
             for pause_s in (0.0, 0.05, 0.1, 0.3):
                 with self.subTest(seed=seed, pause_s=pause_s):
                     rng = random.Random(seed)
-                    cluster = self._start(seed)
-                    cluster.add("s")
-                    cluster.advance(joining_cluster.CATCH_UP_S)
+                    cluster = self._start_with_successor(seed)
                     # Back from its restart, this machine only follows.
                     restarted = self._host(cluster, rng, False)
                     cluster.stop(restarted)
@@ -261,8 +264,7 @@
                     cluster.begin_stop(stopped)
                     cluster.advance(pause_s)
                     cluster.lose_disk(leader)
-                    if cluster.member_by_host[stopped] in cluster.rafts:
-                        cluster.await_end(stopped)
+                    cluster.await_end(stopped)
                     cluster.remove(stopped)
                     cluster.restart(leader)
                     cluster.advance(joining_cluster.CATCH_UP_S)
@@ -274,9 +276,7 @@
         for seed in range(30):
             with self.subTest(seed=seed):
                 rng = random.Random(seed)
-                cluster = self._start(seed)
-                cluster.add("s")
-                cluster.advance(joining_cluster.CATCH_UP_S)
+                cluster = self._start_with_successor(seed)
                 host = self._host(cluster, rng, seed % 2)
                 cluster.stop(host)
                 others = sorted(set(cluster.member_by_host) - {host})
--- a/tests/test_endless_input.py
+++ b/tests/test_endless_input.py
@@ -134,6 +134,13 @@
         await self.mesh.wait_until(
             lambda: not self.mesh.nodes[0].upstream.load().running)
 
+    async def _assert_next_is_served(self):
+        self._set_handler(None)
+        await self.mesh.wait_until(
+            lambda: self.mesh.nodes[0].upstream.row().usable)
+        self.assertEqual((await self.mesh.send_request(index=1,
+                                                       method="POST"))[0], 200)
+
     async def test_no_response_in_it(self):
         """The request fails with an unknown outcome; the next one is served."""
         await self._start(b"", b"")
@@ -150,12 +157,7 @@
                     pass
                 await self._assert_closed_by_node()
                 self.assertLess(self.sent_bytes, 16 << 20)
-                self._set_handler(None)
-                await self.mesh.wait_until(
-                    lambda: self.mesh.nodes[0].upstream.row().usable)
-                self.assertEqual(
-                    (await self.mesh.send_request(index=1,
-                                                  method="POST"))[0], 200)
+                await self._assert_next_is_served()
 
     async def test_content(self):
         """Endless content is passed on in bounded memory until its caller
@@ -252,12 +254,7 @@
                 grown_kb = resource.getrusage(
                     resource.RUSAGE_SELF).ru_maxrss - before_kb
                 self.assertLess(grown_kb, 24 << 10)
-                self._set_handler(None)
-                await self.mesh.wait_until(
-                    lambda: self.mesh.nodes[0].upstream.row().usable)
-                self.assertEqual(
-                    (await self.mesh.send_request(index=1,
-                                                  method="POST"))[0], 200)
+                await self._assert_next_is_served()
 
     async def test_responses_to_other_requests(self):
         """Only a few responses are skipped on the way to the expected one."""
