--- a/review/kit3.py
+++ b/review/kit3.py
@@ -18,6 +18,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 START_TIMEOUT_S = 30.0
@@ -607,7 +608,9 @@
             record(f"broken: {line}")
         record(f"result: {len(broken)} broken")
         code = 1 if broken else 0
-    except (Unable, TimeoutError, OSError) as error:
+    except Exception as error:  # pylint: disable=broad-exception-caught
+        # Exit code 1 is left to broken promises.
         record(f"result: unable to run: {error!r}")
+        traceback.print_exc()
     record.close()
     sys.exit(code)
